--- /dev/null
+++ b/endpoint.go
@@ -0,0 +1,48 @@
+package papayajunction
+
+// Announcement is how an endpoint makes itself known; it is renewed before TTLMS runs out.
+type Announcement struct {
+	Endpoint string   `json:"endpoint"`
+	Address  string   `json:"address"` // IP and port, such as "127.0.0.1:9000"
+	Zone     string   `json:"zone"`
+	Queues   []string `json:"queues"`
+	Slots    int      `json:"slots"`
+	InFlight int      `json:"in_flight"`
+	Leaving  bool     `json:"leaving,omitempty"`
+	TTLMS    int64    `json:"ttl_ms"`
+}
+
+// AnnouncementReply answers an announcement.
+type AnnouncementReply struct {
+	RenewWithinMS int64 `json:"renew_within_ms"`
+}
+
+// GrantRequest asks a cell's leader for a slot of an endpoint.
+type GrantRequest struct {
+	Request   string   `json:"request"`
+	Queue     string   `json:"queue"`
+	Workspace string   `json:"workspace"`
+	Urgency   Urgency  `json:"urgency"`
+	WaitMS    int64    `json:"wait_ms"` // how long the request may still wait for a slot
+	Avoid     []string `json:"avoid,omitempty"`
+	Entry     string   `json:"entry"`
+}
+
+// Grant is the right to send one request to one endpoint.
+//
+// It holds for ValidMS milliseconds, counted from when the entry asked for it; Granted is how much
+// of that time was spent waiting in the queue, in milliseconds.
+type Grant struct {
+	ID       string `json:"id"`
+	Endpoint string `json:"endpoint"`
+	Address  string `json:"address"`
+	ValidMS  int64  `json:"valid_ms"`
+	WaitedMS int64  `json:"waited_ms"`
+}
+
+// GrantRelease gives a slot back.
+type GrantRelease struct {
+	ID        string `json:"id"`
+	LatencyMS int64  `json:"latency_ms"`
+	Failed    bool   `json:"failed,omitempty"`
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,110 @@
+package papayajunction
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Code names an error for programs; it stays the same between releases.
+type Code string
+
+// The codes of errors.
+const (
+	CodeBadRequest     Code = "bad_request"
+	CodeTooLarge       Code = "too_large"
+	CodeUnknownQueue   Code = "unknown_queue"
+	CodeUnknownJob     Code = "unknown_job"
+	CodeNoKey          Code = "no_key"
+	CodeWrongKey       Code = "wrong_key"
+	CodeForbidden      Code = "forbidden"
+	CodeKeysUnknown    Code = "keys_unknown"
+	CodeConflict       Code = "conflict"
+	CodeNeverRuns      Code = "never_runs"
+	CodeOverloaded     Code = "overloaded"
+	CodeNoEndpoint     Code = "no_endpoint"
+	CodeDeadline       Code = "deadline"
+	CodeNotLeader      Code = "not_leader"
+	CodeNoQuorum       Code = "no_quorum"
+	CodeDraining       Code = "draining"
+	CodeBadAnswer      Code = "bad_answer"
+	CodeOutcomeUnknown Code = "outcome_unknown"
+	CodeInternal       Code = "internal"
+)
+
+// Error is the one error form that callers, workers, endpoints and operators see.
+//
+// NotRun is true only if the work was certainly not started and will not be.
+type Error struct {
+	Code       Code         `json:"code"`
+	NotRun     bool         `json:"not_run"`
+	Message    string       `json:"message"`
+	RetryAfter Duration     `json:"retry_after,omitempty"`
+	Leader     string       `json:"leader,omitempty"` // with not_leader: the VM to ask, if known
+	Details    []FieldIssue `json:"details,omitempty"`
+}
+
+// FieldIssue is one fault in an operator file.
+type FieldIssue struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Field   string `json:"field"`
+	Message string `json:"message"`
+}
+
+// String returns "file:line: field: message".
+func (i FieldIssue) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", i.File, i.Line, i.Field, i.Message)
+}
+
+// Refuse returns an error for work that was certainly not run.
+func Refuse(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, NotRun: true, Message: fmt.Sprintf(format, args...)}
+}
+
+// Fail returns an error for work that may have been run.
+func Fail(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string {
+	return string(e.Code) + ": " + e.Message
+}
+
+// HTTPStatus returns the HTTP status that goes with the code.
+func (e *Error) HTTPStatus() int {
+	switch e.Code {
+	case CodeBadRequest, CodeNeverRuns:
+		return http.StatusBadRequest
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeUnknownQueue, CodeUnknownJob:
+		return http.StatusNotFound
+	case CodeNoKey, CodeWrongKey:
+		return http.StatusUnauthorized
+	case CodeForbidden:
+		return http.StatusForbidden
+	case CodeConflict:
+		return http.StatusConflict
+	case CodeOverloaded:
+		return http.StatusTooManyRequests
+	case CodeDeadline:
+		return http.StatusGatewayTimeout
+	case CodeBadAnswer, CodeOutcomeUnknown:
+		return http.StatusBadGateway
+	case CodeKeysUnknown, CodeNoEndpoint, CodeNotLeader, CodeNoQuorum, CodeDraining:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// AsError returns err as an *Error; anything else becomes an internal error that may have run.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Fail(CodeInternal, "%s", err.Error())
+}
--- /dev/null
+++ b/internal/client/command/operators.go
@@ -0,0 +1,220 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"runtime/debug"
+	"slices"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	pj "papayajunction"
+	"papayajunction/internal/client/entry"
+	"papayajunction/internal/config/operator"
+)
+
+// checked collects and checks the operator files below a folder and prints every fault.
+func (a *App) checked(folder string) ([]pj.File, pj.Configuration, error) {
+	files, err := operator.Collect(folder)
+	if err != nil {
+		return nil, pj.Configuration{}, err
+	}
+	if len(files) == 0 {
+		return nil, pj.Configuration{}, fmt.Errorf("%w: no %s and no *%s below %s", errUsage,
+			operator.FleetFileName, operator.QueueFileSuffix, folder)
+	}
+	config, issues := operator.Parse(files)
+	if len(issues) == 0 {
+		return files, config, nil
+	}
+	err = a.print(issues, func(w io.Writer) {
+		for _, i := range issues {
+			_, _ = fmt.Fprintln(w, i)
+		}
+	})
+	if err != nil {
+		return nil, config, err
+	}
+	return nil, config, fmt.Errorf("%w: %d", errFaults, len(issues))
+}
+
+func (a *App) check() *ffcli.Command {
+	return a.command("check", "DIR", "Check the operator files below a folder and show every fault at once",
+		"papaya check examples/diallo_freres",
+		func(_ context.Context, args []string) error {
+			folder, err := one(args, "folder")
+			if err != nil {
+				return err
+			}
+			files, config, err := a.checked(folder)
+			if err != nil {
+				return err
+			}
+			return a.print(config, func(w io.Writer) {
+				_, _ = fmt.Fprintf(w, "%d files are correct: %d workspaces, %d queues\n", len(files), len(config.Workspaces), len(config.Queues))
+			})
+		})
+}
+
+func (a *App) publish() *ffcli.Command {
+	var dry bool
+	var replaces int64
+	return a.command("publish", "DIR", "Publish the operator files below a folder as one set; shows the difference first",
+		"papaya publish examples/diallo_freres\npapaya publish --replaces 41 examples/diallo_freres   # send version 42 again",
+		func(ctx context.Context, args []string) error {
+			folder, err := one(args, "folder")
+			if err != nil {
+				return err
+			}
+			files, config, err := a.checked(folder)
+			if err != nil {
+				return err
+			}
+			client, closeClient := a.client()
+			defer closeClient()
+			return a.publishFiles(ctx, client, files, config, replaces, dry)
+		},
+		func(fs *flag.FlagSet) {
+			fs.BoolVar(&dry, "dry", false, "show the difference and publish nothing")
+			fs.Int64Var(&replaces, "replaces", -1, "version that is to be replaced; by default the one in force")
+		})
+}
+
+func (a *App) publishFiles(ctx context.Context, client *entry.Client, files []pj.File, config pj.Configuration, replaces int64, dry bool) error {
+	a.progress("reading the version in force")
+	before, err := client.Configuration(ctx, 0)
+	a.endProgress()
+	if err != nil {
+		return err
+	}
+	if a.output != "json" {
+		showDifference(a.out, before, config)
+	}
+	if dry {
+		return nil
+	}
+	p := pj.Publication{Replaces: before.Version, Files: files}
+	if replaces >= 0 {
+		p.Replaces = uint64(replaces)
+	}
+	a.progress("publishing %d files as version %d", len(files), p.Replaces+1)
+	published, err := client.Publish(ctx, p)
+	if err == nil {
+		a.progress("waiting until version %d is in force", published.Version)
+		_, err = client.Configuration(ctx, published.Version)
+	}
+	a.endProgress()
+	if err != nil {
+		return err
+	}
+	return a.print(published, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "version %d is in force (hash %.12s)\n", published.Version, published.Hash)
+	})
+}
+
+// showDifference writes what publishing would add, change and remove.
+func showDifference(w io.Writer, before, after pj.Configuration) {
+	lines := difference("workspace", before.Workspaces, after.Workspaces)
+	lines = append(lines, difference("queue", before.Queues, after.Queues)...)
+	if len(lines) == 0 {
+		lines = []string{"  no difference"}
+	}
+	_, _ = fmt.Fprintf(w, "difference to version %d:\n", before.Version)
+	for _, l := range lines {
+		_, _ = fmt.Fprintln(w, l)
+	}
+}
+
+func difference[T comparable](what string, before, after map[string]T) []string {
+	names := make(map[string]struct{})
+	for name := range before {
+		names[name] = struct{}{}
+	}
+	for name := range after {
+		names[name] = struct{}{}
+	}
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		old, had := before[name]
+		now, has := after[name]
+		switch {
+		case !had:
+			lines = append(lines, fmt.Sprintf("  + %s %s", what, name))
+		case !has:
+			lines = append(lines, fmt.Sprintf("  - %s %s", what, name))
+		case old != now:
+			lines = append(lines, fmt.Sprintf("  ~ %s %s: %+v -> %+v", what, name, old, now))
+		}
+	}
+	return lines
+}
+
+func (a *App) keys() *ffcli.Command {
+	grant := a.command("key grant", "WORKSPACE", "Make a new key for a workspace; the secret is shown once",
+		"papaya key grant installers",
+		func(ctx context.Context, args []string) error {
+			workspace, err := one(args, "workspace")
+			if err != nil {
+				return err
+			}
+			client, closeClient := a.client()
+			defer closeClient()
+			k, err := client.GrantKey(ctx, pj.KeyGrant{Workspace: workspace})
+			if err != nil {
+				return err
+			}
+			return a.print(k, func(w io.Writer) { _, _ = fmt.Fprintf(w, "key %s for %s\n%s\n", k.ID, k.Workspace, k.Secret) })
+		})
+	grant.Name = "grant"
+	withdraw := a.command("key withdraw", "WORKSPACE KEY_ID", "Withdraw a key; it stops working everywhere within seconds",
+		"papaya key withdraw installers k-2f6b01c4d9aa",
+		func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return fmt.Errorf("%w: give a workspace and a key id", errUsage)
+			}
+			client, closeClient := a.client()
+			defer closeClient()
+			if err := client.WithdrawKey(ctx, args[0], args[1]); err != nil {
+				return err
+			}
+			return a.print(pj.Key{ID: args[1], Workspace: args[0], Withdrawn: true}, func(w io.Writer) {
+				_, _ = fmt.Fprintf(w, "key %s of %s is withdrawn\n", args[1], args[0])
+			})
+		})
+	withdraw.Name = "withdraw"
+	list := a.command("key list", "[WORKSPACE]", "List keys, of one workspace or of all", "papaya key list installers",
+		func(ctx context.Context, args []string) error {
+			workspace := ""
+			if len(args) > 0 {
+				workspace = args[0]
+			}
+			client, closeClient := a.client()
+			defer closeClient()
+			keys, err := client.Keys(ctx, workspace)
+			if err != nil {
+				return err
+			}
+			return a.print(keys, func(w io.Writer) { writeKeys(w, keys) })
+		})
+	list.Name = "list"
+	return &ffcli.Command{
+		Name: "key", ShortUsage: "papaya key grant|withdraw|list", ShortHelp: "Grant, withdraw and list the keys of workspaces",
+		FlagSet:     flag.NewFlagSet("papaya key", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{grant, withdraw, list},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func (a *App) version() *ffcli.Command {
+	return a.command("version", "", "Show the version of this program", "papaya version",
+		func(context.Context, []string) error {
+			version := "development"
+			if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+				version = info.Main.Version
+			}
+			return a.print(version, func(w io.Writer) { _, _ = fmt.Fprintln(w, "papaya", version) })
+		})
+}
--- /dev/null
+++ b/internal/client/command/status.go
@@ -0,0 +1,171 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	pj "papayajunction"
+)
+
+func (a *App) status() *ffcli.Command {
+	return a.command("status", "", "Show VMs, zones, endpoints, workers, workspaces, queues, and what waits and why",
+		"papaya status --entry 127.0.0.1:7100",
+		func(ctx context.Context, _ []string) error {
+			client, closeClient := a.client()
+			defer closeClient()
+			st, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(st, func(w io.Writer) { writeStatus(w, st) })
+		})
+}
+
+func (a *App) workspace() *ffcli.Command {
+	return a.command("workspace", "[NAME]", "Show what workspaces have running against share and limit",
+		"papaya workspace installers",
+		func(ctx context.Context, args []string) error {
+			client, closeClient := a.client()
+			defer closeClient()
+			st, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if len(args) > 0 {
+				st.Workspaces = onlyWorkspace(st.Workspaces, args[0])
+			}
+			return a.print(st.Workspaces, func(w io.Writer) { writeWorkspaces(w, st) })
+		})
+}
+
+func onlyWorkspace(all []pj.WorkspaceStatus, name string) []pj.WorkspaceStatus {
+	for _, ws := range all {
+		if ws.Name == name {
+			return []pj.WorkspaceStatus{ws}
+		}
+	}
+	return nil
+}
+
+func (a *App) drain() *ffcli.Command {
+	return a.command("drain", "", "Show how to take a VM, a worker or an endpoint out of service",
+		"papaya drain",
+		func(context.Context, []string) error {
+			_, _ = fmt.Fprint(a.out, drainHelp)
+			return nil
+		})
+}
+
+const drainHelp = `To take a VM of the system out of service, send its papayad a SIGTERM: it tells the balancer,
+hands over what it leads, lets requests in flight end, and exits with 0.
+A worker reports "draining": true and an endpoint announces "leaving": true; both get no new work
+from then on and what runs there goes on to its end.
+`
+
+// table writes aligned columns.
+func table(w io.Writer, header string, rows func(row func(cells ...any))) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, strings.ReplaceAll(header, "|", "\t"))
+	rows(func(cells ...any) {
+		texts := make([]string, len(cells))
+		for i, c := range cells {
+			texts[i] = fmt.Sprint(c)
+		}
+		_, _ = fmt.Fprintln(tw, strings.Join(texts, "\t"))
+	})
+	_ = tw.Flush()
+}
+
+func writeStatus(w io.Writer, st pj.Status) {
+	_, _ = fmt.Fprintf(w, "configuration version %d, confirmed %s; keys %s\n\n", st.Version, confirmedText(st), keysText(st))
+	table(w, "VM|ZONE|DISK FOR STATE", func(row func(...any)) {
+		for _, vm := range st.VMs {
+			row(vm.Name, vm.Zone, vm.Replica)
+		}
+	})
+	for _, c := range st.Cells {
+		writeCell(w, c)
+	}
+	_, _ = fmt.Fprintln(w)
+	writeWorkspaces(w, st)
+}
+
+func confirmedText(st pj.Status) string {
+	if st.VersionSeconds < 0 {
+		return "never since this VM started"
+	}
+	return fmt.Sprintf("%d s ago", st.VersionSeconds)
+}
+
+func keysText(st pj.Status) string {
+	if st.KeysInForce {
+		return "in force"
+	}
+	return "not accepted now: the fleet quorum can't be reached"
+}
+
+func writeCell(w io.Writer, c pj.CellStatus) {
+	_, _ = fmt.Fprintf(w, "\nzone %s", c.Zone)
+	if c.Problem != "" {
+		_, _ = fmt.Fprintf(w, ": %s\n", c.Problem)
+		return
+	}
+	_, _ = fmt.Fprintf(w, ", led by %s: %d workers, %d endpoints\n", c.Leader, len(c.Workers), len(c.Endpoints))
+	table(w, "  WORKER|RACK|STATE|TASKS|RESERVED|OF", func(row func(...any)) {
+		for _, wk := range c.Workers {
+			if wk.Tasks > 0 || wk.State != "working" {
+				row("  "+wk.Name, wk.Rack, wk.State, wk.Tasks, wk.Reserved, wk.Capacity)
+			}
+		}
+	})
+	table(w, "  ENDPOINT|STATE|SLOTS USED|OF", func(row func(...any)) {
+		for _, e := range c.Endpoints {
+			if e.Used > 0 || e.State != "serving" {
+				row("  "+e.Name, e.State, e.Used, e.Slots)
+			}
+		}
+	})
+	table(w, "  QUEUE|RUNNING|WAITING|WHY", func(row func(...any)) {
+		for _, q := range c.Queues {
+			row("  "+q.Name, q.Running, q.Waiting, q.Reason)
+		}
+	})
+}
+
+func writeWorkspaces(w io.Writer, st pj.Status) {
+	table(w, "WORKSPACE|SHARE|RUNNING|UPPER LIMIT|WAITING", func(row func(...any)) {
+		for _, ws := range st.Workspaces {
+			row(ws.Name, ws.Share, ws.Use, ws.Limit, ws.Waiting)
+		}
+	})
+}
+
+func writeJob(w io.Writer, st pj.JobStatus) {
+	_, _ = fmt.Fprintf(w, "%s  queue %s  %s", st.ID, st.Queue, st.State)
+	if st.Reason != "" {
+		_, _ = fmt.Fprintf(w, ": %s", st.Reason)
+	}
+	_, _ = fmt.Fprintln(w)
+	table(w, "  TASK|STATE|WORKER|TRIES|WAITED|RESULT", func(row func(...any)) {
+		for _, t := range st.Tasks {
+			row(fmt.Sprintf("  %d", t.Index), t.State, t.Worker, t.Attempts, fmt.Sprintf("%d ms", t.WaitedMS), t.Result+t.Reason)
+		}
+	})
+}
+
+func writeKeys(w io.Writer, keys []pj.Key) {
+	table(w, "KEY|WORKSPACE|STATE", func(row func(...any)) {
+		for _, k := range keys {
+			state := "in force"
+			if k.Withdrawn {
+				state = "withdrawn"
+			}
+			row(k.ID, k.Workspace, state)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/operator/operator.go
@@ -0,0 +1,267 @@
+// Package operator reads the JSON files that operators publish and reports every fault in them
+// at once, each with file, line and field.
+package operator
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"crypto/sha256"
+
+	pj "papayajunction"
+)
+
+// Names and limits of operator files.
+const (
+	FleetFileName   = "fleet.json"
+	QueueFileSuffix = ".queue.json"
+	MaxFileBytes    = 256 << 10
+	MaxFiles        = 5000
+)
+
+// Collect returns the operator files below folder in order of path.
+func Collect(folder string) ([]pj.File, error) {
+	var files []pj.File
+	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() || !isOperatorFile(entry.Name()) {
+			return nil
+		}
+		content, err := os.ReadFile(filepath.Clean(path))
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(folder, path)
+		if err != nil {
+			return err
+		}
+		files = append(files, pj.File{Path: filepath.ToSlash(relative), Content: string(content)})
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("collect operator files below %s: %w", folder, err)
+	}
+	return files, nil
+}
+
+func isOperatorFile(name string) bool {
+	return name == FleetFileName || strings.HasSuffix(name, QueueFileSuffix)
+}
+
+// Hash returns the SHA-256 over paths and contents, in hexadecimal; the order of files does not
+// matter.
+func Hash(files []pj.File) string {
+	sorted := slices.Clone(files)
+	slices.SortFunc(sorted, func(a, b pj.File) int { return strings.Compare(a.Path, b.Path) })
+	h := sha256.New()
+	for _, f := range sorted {
+		_, _ = fmt.Fprintf(h, "%d:%s%d:%s", len(f.Path), f.Path, len(f.Content), f.Content)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Parse reads a set of files. The configuration is valid only if there are no issues.
+func Parse(files []pj.File) (pj.Configuration, []pj.FieldIssue) {
+	p := parser{config: pj.Configuration{
+		Hash:       Hash(files),
+		Workspaces: make(map[string]pj.Workspace),
+		Queues:     make(map[string]pj.Queue),
+	}}
+	if len(files) > MaxFiles {
+		p.report(issueAt("", 0, "", "at most %d files can be published at once", MaxFiles))
+		return p.config, p.issues
+	}
+	for _, f := range files {
+		p.parseFile(f)
+	}
+	p.checkOwners()
+	slices.SortStableFunc(p.issues, func(a, b pj.FieldIssue) int {
+		if c := strings.Compare(a.File, b.File); c != 0 {
+			return c
+		}
+		return a.Line - b.Line
+	})
+	return p.config, p.issues
+}
+
+type parser struct {
+	config pj.Configuration
+	issues []pj.FieldIssue
+	owners []owner
+	places map[string]string // "queue NAME" or "workspace NAME" to the file that has it
+}
+
+// owner remembers where a queue named its workspace, to be checked once all files are read.
+type owner struct {
+	file  string
+	field field
+	queue pj.Queue
+}
+
+func (p *parser) report(issue pj.FieldIssue) {
+	p.issues = append(p.issues, issue)
+}
+
+func issueAt(file string, line int, name, format string, args ...any) pj.FieldIssue {
+	return pj.FieldIssue{File: file, Line: line, Field: name, Message: fmt.Sprintf(format, args...)}
+}
+
+func (p *parser) parseFile(f pj.File) {
+	if len(f.Content) > MaxFileBytes {
+		p.report(issueAt(f.Path, 1, "", "the file is larger than %d bytes", MaxFileBytes))
+		return
+	}
+	name := f.Path[strings.LastIndex(f.Path, "/")+1:]
+	switch {
+	case name == FleetFileName:
+		p.parseFleet(f)
+	case strings.HasSuffix(name, QueueFileSuffix):
+		p.parseQueue(f)
+	default:
+		p.report(issueAt(f.Path, 1, "", "the name must be %s or end in %s", FleetFileName, QueueFileSuffix))
+	}
+}
+
+// once reports a name that two files define.
+func (p *parser) once(file string, f field, kind, name string) bool {
+	if p.places == nil {
+		p.places = make(map[string]string)
+	}
+	key := kind + " " + name
+	if other, taken := p.places[key]; taken {
+		p.report(issueAt(file, f.line, f.name, "%s is already defined in %s", key, other))
+		return false
+	}
+	p.places[key] = file
+	return true
+}
+
+func (p *parser) checkOwners() {
+	for _, o := range p.owners {
+		w, ok := p.config.Workspaces[o.queue.Workspace]
+		if !ok {
+			p.report(issueAt(o.file, o.field.line, o.field.name,
+				"workspace %q is not in any %s", o.queue.Workspace, FleetFileName))
+			continue
+		}
+		p.checkLimit(o, w)
+	}
+}
+
+// checkLimit reports a job that its workspace's upper limit would never let start.
+func (p *parser) checkLimit(o owner, w pj.Workspace) {
+	q := o.queue
+	needed := q.Task
+	if q.Kind == pj.KindGang {
+		needed = q.Task.Times(int64(q.Tasks))
+	}
+	if q.Kind == pj.KindRequest {
+		needed = pj.Resources{pj.Slots: 1}
+	}
+	if !needed.FitsWhereUsed(w.Limit) {
+		p.report(issueAt(o.file, o.field.line, "task",
+			"needs %v at once, and the limit of workspace %s is %v, so it could never run", needed, w.Name, w.Limit))
+	}
+}
+
+// field is one member of a JSON object with the line that it starts on.
+type field struct {
+	name string
+	line int
+	raw  json.RawMessage
+}
+
+// object is a JSON object whose members are taken out one by one; the rest is unknown.
+type object struct {
+	file   string
+	line   int
+	fields map[string]field
+	order  []string
+	p      *parser
+}
+
+// open reads the members of a JSON object; text is the whole file and start the object's offset.
+func (p *parser) open(file, text string, start int, raw []byte) (*object, bool) {
+	o := &object{file: file, line: lineAt(text, start), fields: make(map[string]field), p: p}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	token, err := dec.Token()
+	if err != nil || token != json.Delim('{') {
+		p.report(issueAt(file, o.line, "", "expected a JSON object in { }"))
+		return nil, false
+	}
+	for dec.More() {
+		key, err := dec.Token()
+		if err != nil {
+			return nil, o.broken(text, start, dec, err)
+		}
+		f := field{name: fmt.Sprint(key), line: lineAt(text, start+int(dec.InputOffset()))}
+		if err := dec.Decode(&f.raw); err != nil {
+			return nil, o.broken(text, start, dec, err)
+		}
+		if _, twice := o.fields[f.name]; twice {
+			p.report(issueAt(file, f.line, f.name, "the field stands twice"))
+		}
+		o.fields[f.name] = f
+		o.order = append(o.order, f.name)
+	}
+	if _, err := dec.Token(); err != nil {
+		return nil, o.broken(text, start, dec, err)
+	}
+	return o, true
+}
+
+func (o *object) broken(text string, start int, dec *json.Decoder, err error) bool {
+	line := lineAt(text, start+int(dec.InputOffset()))
+	o.p.report(issueAt(o.file, line, "", "the JSON is broken near here: %v", err))
+	return false
+}
+
+func lineAt(text string, offset int) int {
+	return 1 + strings.Count(text[:min(max(offset, 0), len(text))], "\n")
+}
+
+// take returns a member and marks it as known.
+func (o *object) take(name string) (field, bool) {
+	f, ok := o.fields[name]
+	delete(o.fields, name)
+	return f, ok
+}
+
+// read decodes a member into target; what describes the allowed values.
+func (o *object) read(name string, target any, required bool, what string) (field, bool) {
+	f, ok := o.take(name)
+	if !ok {
+		if required {
+			o.p.report(issueAt(o.file, o.line, name, "is missing; it must be %s", what))
+		}
+		return field{name: name, line: o.line}, false
+	}
+	if err := json.Unmarshal(f.raw, target); err != nil || string(f.raw) == "null" {
+		o.p.report(issueAt(o.file, f.line, name, "is %s; it must be %s", f.raw, what))
+		return f, false
+	}
+	return f, true
+}
+
+func (o *object) fail(f field, format string, args ...any) {
+	o.p.report(issueAt(o.file, f.line, f.name, format, args...))
+}
+
+// finish reports the members that nobody took.
+func (o *object) finish(allowed string) {
+	for _, name := range o.order {
+		if f, unknown := o.fields[name]; unknown {
+			o.fail(f, "is not a known field; allowed are %s", allowed)
+			delete(o.fields, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/accountant/jobs.go
@@ -0,0 +1,183 @@
+package accountant
+
+import (
+	"time"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/cell"
+)
+
+// jobWaiter is a caller that waits for a job to end.
+type jobWaiter struct {
+	until time.Duration
+	reply func(pj.JobStatus, error)
+}
+
+// Submit makes a job durable and calls done with its status.
+func (a *Accountant) Submit(job pj.Job, done func(pj.JobStatus, error)) {
+	if held := a.options.State.Job(job.ID); held == nil {
+		if err := a.refuse(job); err != nil {
+			done(pj.JobStatus{}, err)
+			return
+		}
+	}
+	job.SubmittedAt = a.options.Unix()
+	a.commit(cell.Command{Submit: &job}, func(r pj.CommitResult) {
+		if r.Err != nil {
+			done(pj.JobStatus{}, r.Err)
+			return
+		}
+		result, ok := r.Value.(cell.SubmitResult)
+		if !ok || result.Err != nil {
+			done(pj.JobStatus{}, result.Err)
+			return
+		}
+		if result.New && !a.closed {
+			a.submitPending(a.options.Clock.Now(), result.Record)
+		}
+		done(a.status(result.Record), nil)
+		if !a.closed {
+			a.Decide()
+		}
+	})
+}
+
+// refuse returns why a new job can't be taken, or nil.
+func (a *Accountant) refuse(job pj.Job) *pj.Error {
+	if !a.scheduler.CanEverRun(&job) {
+		return pj.Refuse(pj.CodeNeverRuns,
+			"%d task(s) of %v each would not fit on the workers of zone %s even if all were empty",
+			job.Tasks, job.Task, a.options.Zone)
+	}
+	waiting := 0
+	a.scheduler.Waiting(func(workspace, queue string, tasks int, _ pj.Resources, _ string) {
+		if workspace == job.Workspace && queue == job.Queue {
+			waiting += tasks
+		}
+	})
+	if job.MaxWaiting > 0 && waiting >= job.MaxWaiting {
+		e := pj.Refuse(pj.CodeOverloaded, "queue %s has %d tasks waiting already", job.Queue, waiting)
+		e.RetryAfter = pj.Duration(5 * time.Second)
+		return e
+	}
+	return nil
+}
+
+// Cancel ends a job; what runs of it is stopped.
+func (a *Accountant) Cancel(id, workspace string, done func(pj.JobStatus, error)) {
+	r := a.options.State.Job(id)
+	if r == nil || (workspace != "" && r.Job.Workspace != workspace) {
+		done(pj.JobStatus{}, unknownJob(id))
+		return
+	}
+	a.commit(cell.Command{Cancel: []string{id}}, func(result pj.CommitResult) {
+		if result.Err != nil {
+			done(pj.JobStatus{}, result.Err)
+			return
+		}
+		if !a.closed && r.Cancelled {
+			a.scheduler.Cancel(id)
+			a.stopLive(r)
+			a.notifyJob(id)
+		}
+		done(a.status(r), nil)
+	})
+}
+
+func unknownJob(id string) *pj.Error {
+	return pj.Refuse(pj.CodeUnknownJob, "job %s is not known", id)
+}
+
+// Status answers with a job's status, at once if it has ended or wait is 0, else when it ends or
+// the wait is over.
+func (a *Accountant) Status(id, workspace string, wait time.Duration, reply func(pj.JobStatus, error)) {
+	r := a.options.State.Job(id)
+	if r == nil || (workspace != "" && r.Job.Workspace != workspace) {
+		reply(pj.JobStatus{}, unknownJob(id))
+		return
+	}
+	if wait <= 0 || r.Ended() {
+		reply(a.status(r), nil)
+		return
+	}
+	a.waiters[id] = append(a.waiters[id], &jobWaiter{until: a.options.Clock.Now() + wait, reply: reply})
+}
+
+// notifyJob answers those who wait for a job, once it has ended.
+func (a *Accountant) notifyJob(id string) {
+	list := a.waiters[id]
+	if len(list) == 0 {
+		return
+	}
+	r := a.options.State.Job(id)
+	if r == nil || !r.Ended() {
+		return
+	}
+	delete(a.waiters, id)
+	for _, jw := range list {
+		jw.reply(a.status(r), nil)
+	}
+}
+
+func (a *Accountant) tickWaiters(now time.Duration) {
+	for id, list := range a.waiters {
+		rest := list[:0]
+		for _, jw := range list {
+			if now < jw.until {
+				rest = append(rest, jw)
+				continue
+			}
+			if r := a.options.State.Job(id); r != nil {
+				jw.reply(a.status(r), nil)
+			} else {
+				jw.reply(pj.JobStatus{}, unknownJob(id))
+			}
+		}
+		if len(rest) == 0 {
+			delete(a.waiters, id)
+		} else {
+			a.waiters[id] = rest
+		}
+	}
+}
+
+func (a *Accountant) isRunning(id pj.AttemptID) bool {
+	v := a.attempts[id]
+	return v != nil && v.running
+}
+
+// status returns a job as callers see it.
+func (a *Accountant) status(r *cell.Record) pj.JobStatus {
+	st := pj.JobStatus{
+		ID: r.Job.ID, Workspace: r.Job.Workspace, Queue: r.Job.Queue,
+		State: r.State(a.isRunning), Reason: r.Failed,
+		Tasks: make([]pj.TaskStatus, len(r.Tasks)),
+	}
+	if st.State == pj.JobQueued {
+		st.Reason = a.scheduler.Reason(r.Job.ID)
+	}
+	for i, t := range r.Tasks {
+		st.Tasks[i] = pj.TaskStatus{
+			Index: i, State: a.taskState(r, i), Worker: t.Worker, Rack: t.Rack, Attempts: t.Number,
+			Result: t.Result, Reason: t.Reason, WaitedMS: t.WaitedMS,
+		}
+	}
+	return st
+}
+
+func (a *Accountant) taskState(r *cell.Record, i int) pj.JobState {
+	t := r.Tasks[i]
+	switch {
+	case t.Done:
+		return pj.JobFinished
+	case t.Live != nil && a.isRunning(pj.AttemptID{Job: r.Job.ID, Task: i, Number: t.Number}):
+		return pj.JobRunning
+	case t.Live != nil:
+		return pj.JobStarting
+	case r.Cancelled:
+		return pj.JobCancelled
+	case r.Failed != "":
+		return pj.JobFailed
+	}
+	return pj.JobQueued
+}
--- /dev/null
+++ b/internal/control/accountant/requests.go
@@ -0,0 +1,196 @@
+package accountant
+
+import (
+	"slices"
+	"strings"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/cell"
+)
+
+// overBeforeShed is how many allotments in a row must be too small before tasks give way.
+const overBeforeShed = 3
+
+// Announce takes in an endpoint's announcement.
+func (a *Accountant) Announce(an pj.Announcement) error {
+	if !a.options.Group.Serving() {
+		return a.notServing()
+	}
+	if an.Zone != a.options.Zone {
+		return pj.Refuse(pj.CodeBadRequest, "endpoint %s is in zone %q and announced itself to zone %s",
+			an.Endpoint, an.Zone, a.options.Zone)
+	}
+	return a.table.Announce(a.options.Clock.Now(), an)
+}
+
+func (a *Accountant) notServing() *pj.Error {
+	return pj.Refuse(pj.CodeNoQuorum, "zone %s has no quorum here", a.options.Zone)
+}
+
+// Grant asks for a slot for a request; reply is called once, at once or later.
+func (a *Accountant) Grant(r pj.GrantRequest, reply func(pj.Grant, error)) {
+	if !a.options.Group.Serving() {
+		reply(pj.Grant{}, a.notServing())
+		return
+	}
+	q, ok := a.options.Config().Queues[r.Queue]
+	if !ok || q.Kind != pj.KindRequest {
+		reply(pj.Grant{}, pj.Refuse(pj.CodeUnknownQueue, "queue %s takes no requests", r.Queue))
+		return
+	}
+	a.table.Request(a.options.Clock.Now(), q, r, reply)
+}
+
+// Release gives a slot back.
+func (a *Accountant) Release(r pj.GrantRelease) {
+	a.table.Release(a.options.Clock.Now(), r)
+}
+
+// Abandon drops a request whose caller has gone.
+func (a *Accountant) Abandon(queue, request string) {
+	a.table.Abandon(a.options.Clock.Now(), queue, request)
+}
+
+// AllotmentReport returns what the fleet leader is to hear of this cell.
+func (a *Accountant) AllotmentReport(fleetTerm uint64) pj.AllotmentReport {
+	r := pj.AllotmentReport{Cell: a.options.Zone, Term: a.options.Term, Full: true, FleetTerm: fleetTerm}
+	r.Capacity = a.Capacity()
+	waiting := make(map[string]pj.Resources)
+	counts := make(map[string]int)
+	a.scheduler.Waiting(func(workspace, _ string, tasks int, needed pj.Resources, _ string) {
+		waiting[workspace] = waiting[workspace].Add(needed)
+		counts[workspace] += tasks
+	})
+	a.table.Waiting(func(q pj.Queue, n, _ int) {
+		waiting[q.Workspace] = waiting[q.Workspace].Add(pj.Resources{pj.Slots: int64(n)})
+		counts[q.Workspace] += n
+	})
+	for name := range a.known {
+		r.Demands = append(r.Demands, pj.CellDemand{
+			Committed: a.options.State.Allotment(name),
+			Use:       a.ledger.Use(name),
+			Waiting:   waiting[name],
+			Count:     counts[name],
+		})
+	}
+	return r
+}
+
+// Capacity returns the capacity of the cell's workers and endpoints.
+func (a *Accountant) Capacity() pj.Resources {
+	var sum pj.Resources
+	for _, w := range a.workers {
+		sum = sum.Add(w.capacity)
+	}
+	sum[pj.Slots] = a.table.Capacity(a.options.Clock.Now())
+	return sum
+}
+
+// SetFleet takes in what the fleet leader answered: new allotments, use elsewhere and capacity.
+func (a *Accountant) SetFleet(reply pj.AllotmentReply) {
+	if a.closed {
+		return
+	}
+	a.scheduler.SetFleetCapacity(reply.Capacity)
+	remote := make(map[string]pj.Resources, len(reply.Remote))
+	for _, u := range reply.Remote {
+		remote[u.Workspace] = u.Use
+		a.known[u.Workspace] = struct{}{}
+	}
+	for name := range a.known {
+		a.scheduler.SetRemote(name, remote[name])
+	}
+	a.commitAllotments(reply.Targets)
+}
+
+// commitAllotments puts new allotments into force. From the proposal on, nothing is started that
+// a smaller allotment would not allow.
+func (a *Accountant) commitAllotments(targets []pj.Allotment) {
+	var commits []cell.AllotCommit
+	for _, t := range targets {
+		held := a.options.State.Allotment(t.Workspace)
+		if _, busy := a.pending[t.Workspace]; busy || t.Seq <= held.Seq {
+			continue
+		}
+		a.noteOver(t)
+		a.pending[t.Workspace] = t
+		a.known[t.Workspace] = struct{}{}
+		commits = append(commits, cell.AllotCommit{Allotment: t, SlotsUsed: a.table.SlotsUsed(t.Workspace)})
+	}
+	if len(commits) == 0 {
+		return
+	}
+	a.refreshWorkspaces()
+	a.commit(cell.Command{Allot: commits}, func(pj.CommitResult) {
+		if a.closed {
+			return
+		}
+		for _, c := range commits {
+			delete(a.pending, c.Workspace)
+		}
+		a.refreshWorkspaces()
+		a.Decide()
+	})
+}
+
+// noteOver makes tasks give way once several allotments in a row were smaller than what is in use.
+// A single one may only be late; several mean that the upper limit was lowered.
+func (a *Accountant) noteOver(t pj.Allotment) {
+	use := a.ledger.Use(t.Workspace)
+	use[pj.Slots] = 0
+	if use.FitsWhereUsed(t.Value) {
+		delete(a.over, t.Workspace)
+		return
+	}
+	a.over[t.Workspace]++
+	if a.over[t.Workspace] >= overBeforeShed {
+		a.preempt(a.scheduler.Shed(t.Workspace, t.Value))
+	}
+}
+
+// CellStatus returns the operators' view of the cell.
+func (a *Accountant) CellStatus() pj.CellStatus {
+	now := a.options.Clock.Now()
+	st := pj.CellStatus{Zone: a.options.Zone, Endpoints: a.table.Endpoints(now)}
+	for _, w := range a.workers {
+		st.Workers = append(st.Workers, pj.WorkerStatus{
+			Name: w.name, Rack: w.rack, State: w.state, Capacity: w.capacity,
+			Reserved: a.scheduler.Index().Reserved(w.name), Tasks: len(w.attempts),
+		})
+	}
+	counts := make(map[string]int)
+	queues := make(map[string]pj.QueueStatus)
+	a.scheduler.Waiting(func(workspace, queue string, tasks int, _ pj.Resources, why string) {
+		counts[workspace] += tasks
+		q := queues[queue]
+		queues[queue] = pj.QueueStatus{Name: queue, Waiting: q.Waiting + tasks, Reason: why}
+	})
+	for _, v := range a.attempts {
+		if v.record != nil {
+			q := queues[v.record.Job.Queue]
+			q.Name = v.record.Job.Queue
+			q.Running++
+			queues[q.Name] = q
+		}
+	}
+	a.table.Waiting(func(q pj.Queue, waiting, running int) {
+		counts[q.Workspace] += waiting
+		queues[q.Name] = pj.QueueStatus{Name: q.Name, Waiting: waiting, Running: running}
+	})
+	for _, q := range queues {
+		st.Queues = append(st.Queues, q)
+	}
+	for name := range a.known {
+		st.Use = append(st.Use, pj.CellUse{
+			Workspace: name, Use: a.ledger.Use(name), Allotment: a.options.State.Allotment(name).Value, Waiting: counts[name],
+		})
+	}
+	sortStatus(&st)
+	return st
+}
+
+func sortStatus(st *pj.CellStatus) {
+	slices.SortFunc(st.Workers, func(a, b pj.WorkerStatus) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(st.Queues, func(a, b pj.QueueStatus) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(st.Use, func(a, b pj.CellUse) int { return strings.Compare(a.Workspace, b.Workspace) })
+}
--- /dev/null
+++ b/internal/control/placement/placement.go
@@ -0,0 +1,416 @@
+// Package placement chooses workers for tasks by class and keeps account of their free resources.
+//
+// Workers stand in buckets by free cores, so that the tightest fit is found without a scan of the
+// fleet. Workers with accelerators form a partition of their own.
+package placement
+
+import (
+	"math/bits"
+
+	pj "papayajunction"
+)
+
+// coresPerBucket is the width of a bucket in thousandths of a core.
+const coresPerBucket = 500
+
+// bucketCount bounds the number of buckets; workers with more free cores share the last.
+const bucketCount = 1024
+
+// acceleratorPart is the part of a worker's cores and memory that is kept for its free
+// accelerators from tasks that need none: 1/acceleratorPart.
+const acceleratorPart = 2
+
+// Index holds the workers of one cell. Use New.
+type Index struct {
+	workers map[string]*worker
+	racks   map[string]*rack
+	order   []*rack
+	cursor  int
+	plain   partition // workers without accelerators
+	special partition // workers with accelerators
+
+	acceleratorsWanted bool
+}
+
+type worker struct {
+	name     string
+	rack     *rack
+	capacity pj.Resources
+	reserved pj.Resources
+	held     pj.Resources // kept free for a reservation
+	usable   bool
+	bucket   int // -1 if in no bucket
+	position int
+}
+
+type rack struct {
+	name    string
+	workers []*worker
+}
+
+// partition is a set of buckets with a bitmap of those that are not empty.
+type partition struct {
+	buckets [bucketCount][]*worker
+	filled  [bucketCount / 64]uint64
+}
+
+// New returns an empty index.
+func New() *Index {
+	return &Index{workers: make(map[string]*worker), racks: make(map[string]*rack)}
+}
+
+func (w *worker) free() pj.Resources {
+	return w.capacity.Sub(w.reserved).Sub(w.held)
+}
+
+func bucketOf(free pj.Resources) int {
+	return int(min(max(free[pj.Cores], 0)/coresPerBucket, bucketCount-1))
+}
+
+func (x *Index) partitionOf(w *worker) *partition {
+	if w.capacity[pj.Accelerators] > 0 {
+		return &x.special
+	}
+	return &x.plain
+}
+
+func (p *partition) insert(w *worker) {
+	w.bucket = bucketOf(w.free())
+	w.position = len(p.buckets[w.bucket])
+	p.buckets[w.bucket] = append(p.buckets[w.bucket], w)
+	p.filled[w.bucket/64] |= 1 << (w.bucket % 64)
+}
+
+func (p *partition) remove(w *worker) {
+	if w.bucket < 0 {
+		return
+	}
+	b := p.buckets[w.bucket]
+	last := len(b) - 1
+	b[w.position] = b[last]
+	b[w.position].position = w.position
+	b[last] = nil
+	p.buckets[w.bucket] = b[:last]
+	if last == 0 {
+		p.filled[w.bucket/64] &^= 1 << (w.bucket % 64)
+	}
+	w.bucket = -1
+}
+
+// next returns the first bucket from on that is not empty, or -1.
+func (p *partition) next(from int) int {
+	for word := from / 64; word < len(p.filled); word++ {
+		set := p.filled[word]
+		if word == from/64 {
+			set &= ^uint64(0) << (from % 64)
+		}
+		if set != 0 {
+			return word*64 + bits.TrailingZeros64(set)
+		}
+	}
+	return -1
+}
+
+func (x *Index) refresh(w *worker) {
+	p := x.partitionOf(w)
+	if !w.usable {
+		p.remove(w)
+		return
+	}
+	if w.bucket >= 0 && w.bucket == bucketOf(w.free()) {
+		return
+	}
+	p.remove(w)
+	p.insert(w)
+}
+
+// Set adds a worker or changes its capacity and rack, and reports whether anything changed.
+func (x *Index) Set(name, rackName string, capacity pj.Resources) bool {
+	w := x.workers[name]
+	if w != nil && w.capacity == capacity && w.rack.name == rackName {
+		return false
+	}
+	if w == nil {
+		w = &worker{name: name, usable: true, bucket: -1}
+		x.workers[name] = w
+	} else {
+		x.partitionOf(w).remove(w)
+		w.rack.drop(w)
+	}
+	w.capacity = capacity
+	x.rack(rackName).add(w)
+	x.refresh(w)
+	return true
+}
+
+func (x *Index) rack(name string) *rack {
+	r := x.racks[name]
+	if r == nil {
+		r = &rack{name: name}
+		x.racks[name] = r
+		x.order = append(x.order, r)
+	}
+	return r
+}
+
+func (r *rack) add(w *worker) {
+	r.workers = append(r.workers, w)
+	w.rack = r
+}
+
+func (r *rack) drop(w *worker) {
+	for i, other := range r.workers {
+		if other == w {
+			r.workers = append(r.workers[:i], r.workers[i+1:]...)
+			return
+		}
+	}
+}
+
+// SetUsable says whether new tasks may be placed on a worker.
+func (x *Index) SetUsable(name string, usable bool) {
+	if w := x.workers[name]; w != nil {
+		w.usable = usable
+		x.refresh(w)
+	}
+}
+
+// Remove forgets a worker and what is reserved on it.
+func (x *Index) Remove(name string) {
+	w := x.workers[name]
+	if w == nil {
+		return
+	}
+	x.partitionOf(w).remove(w)
+	w.rack.drop(w)
+	delete(x.workers, name)
+}
+
+// Reserve takes an amount of a worker's free resources.
+func (x *Index) Reserve(name string, amount pj.Resources) {
+	if w := x.workers[name]; w != nil {
+		w.reserved = w.reserved.Add(amount)
+		x.refresh(w)
+	}
+}
+
+// Release gives a reserved amount back.
+func (x *Index) Release(name string, amount pj.Resources) {
+	x.Reserve(name, pj.Resources{}.Sub(amount))
+}
+
+// Hold keeps an amount of a worker from everyone but the owner of the reservation.
+func (x *Index) Hold(name string, amount pj.Resources) {
+	if w := x.workers[name]; w != nil {
+		w.held = w.held.Add(amount)
+		x.refresh(w)
+	}
+}
+
+// Unhold ends a Hold.
+func (x *Index) Unhold(name string, amount pj.Resources) {
+	x.Hold(name, pj.Resources{}.Sub(amount))
+}
+
+// Free returns what is neither reserved nor held on a worker.
+func (x *Index) Free(name string) pj.Resources {
+	if w := x.workers[name]; w != nil {
+		return w.free()
+	}
+	return pj.Resources{}
+}
+
+// Unreserved returns what is not reserved on a worker, held or not.
+func (x *Index) Unreserved(name string) pj.Resources {
+	if w := x.workers[name]; w != nil {
+		return w.capacity.Sub(w.reserved)
+	}
+	return pj.Resources{}
+}
+
+// Usable reports whether new tasks may be placed on the worker.
+func (x *Index) Usable(name string) bool {
+	w := x.workers[name]
+	return w != nil && w.usable
+}
+
+// Reserved returns what is reserved on a worker.
+func (x *Index) Reserved(name string) pj.Resources {
+	if w := x.workers[name]; w != nil {
+		return w.reserved
+	}
+	return pj.Resources{}
+}
+
+// Capacity returns the capacity of a worker.
+func (x *Index) Capacity(name string) pj.Resources {
+	if w := x.workers[name]; w != nil {
+		return w.capacity
+	}
+	return pj.Resources{}
+}
+
+// Rack returns the rack of a worker.
+func (x *Index) Rack(name string) string {
+	if w := x.workers[name]; w != nil {
+		return w.rack.name
+	}
+	return ""
+}
+
+// Each calls visit for every worker until it returns false.
+func (x *Index) Each(visit func(name, rack string, usable bool) bool) {
+	for _, r := range x.order {
+		for _, w := range r.workers {
+			if !visit(w.name, r.name, w.usable) {
+				return
+			}
+		}
+	}
+}
+
+// Racks calls visit with the workers of each rack.
+func (x *Index) Racks(visit func(rack string, workers []string)) {
+	for _, r := range x.order {
+		names := make([]string, len(r.workers))
+		for i, w := range r.workers {
+			names[i] = w.name
+		}
+		visit(r.name, names)
+	}
+}
+
+// SetAcceleratorsWanted says whether a task that needs accelerators waits; then tasks that need
+// none keep off workers that have some.
+func (x *Index) SetAcceleratorsWanted(wanted bool) {
+	x.acceleratorsWanted = wanted
+}
+
+// Place returns a worker for the shape, chosen by class, without reserving anything.
+func (x *Index) Place(shape pj.Shape) (string, bool) {
+	var w *worker
+	if shape.Kind == pj.KindService {
+		w = x.spread(shape)
+	} else {
+		w = x.tightest(shape)
+	}
+	if w == nil {
+		return "", false
+	}
+	return w.name, true
+}
+
+// tightest returns the worker with the fewest free cores on which the shape fits.
+func (x *Index) tightest(shape pj.Shape) *worker {
+	if shape.Rack != "" {
+		return x.tightestInRack(shape)
+	}
+	if shape.Amount[pj.Accelerators] > 0 {
+		return x.special.tightest(x, shape)
+	}
+	if w := x.plain.tightest(x, shape); w != nil {
+		return w
+	}
+	if x.acceleratorsWanted {
+		return nil
+	}
+	return x.special.tightest(x, shape)
+}
+
+func (p *partition) tightest(x *Index, shape pj.Shape) *worker {
+	for b := p.next(bucketOf(shape.Amount)); b >= 0 && b < bucketCount; b = p.nextAfter(b) {
+		for _, w := range p.buckets[b] {
+			if x.fits(w, shape) {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+func (p *partition) nextAfter(b int) int {
+	if b+1 >= bucketCount {
+		return -1
+	}
+	return p.next(b + 1)
+}
+
+func (x *Index) tightestInRack(shape pj.Shape) *worker {
+	r := x.racks[shape.Rack]
+	if r == nil {
+		return nil
+	}
+	var best *worker
+	for _, w := range r.workers {
+		if !x.fits(w, shape) {
+			continue
+		}
+		if best == nil || w.free()[pj.Cores] < best.free()[pj.Cores] {
+			best = w
+		}
+	}
+	return best
+}
+
+func (x *Index) fits(w *worker, shape pj.Shape) bool {
+	if !w.usable || !shape.Amount.Fits(x.available(w, shape)) {
+		return false
+	}
+	_, avoided := shape.Avoid[w.name]
+	return !avoided
+}
+
+// available returns what the shape may use of a worker.
+func (x *Index) available(w *worker, shape pj.Shape) pj.Resources {
+	free := w.free()
+	if shape.Amount[pj.Accelerators] > 0 || w.capacity[pj.Accelerators] == 0 {
+		return free
+	}
+	if x.acceleratorsWanted {
+		return pj.Resources{}
+	}
+	for _, d := range []pj.Dimension{pj.Cores, pj.Memory} {
+		perDevice := w.capacity[d] / (acceleratorPart * w.capacity[pj.Accelerators])
+		free[d] -= perDevice * free[pj.Accelerators]
+	}
+	return free
+}
+
+// spread returns a worker in a rack that holds the fewest tasks of the job, in turn.
+func (x *Index) spread(shape pj.Shape) *worker {
+	var best *worker
+	bestCount := -1
+	for i := range x.order {
+		r := x.order[(x.cursor+i)%len(x.order)]
+		count := shape.Spread[r.name]
+		if bestCount >= 0 && count >= bestCount {
+			continue
+		}
+		if shape.Rack != "" && r.name != shape.Rack {
+			continue
+		}
+		if w := x.emptiestInRack(r, shape); w != nil {
+			best, bestCount = w, count
+		}
+		if bestCount == 0 {
+			break
+		}
+	}
+	if len(x.order) > 0 {
+		x.cursor = (x.cursor + 1) % len(x.order)
+	}
+	return best
+}
+
+func (x *Index) emptiestInRack(r *rack, shape pj.Shape) *worker {
+	var best *worker
+	for _, w := range r.workers {
+		if !x.fits(w, shape) {
+			continue
+		}
+		if best == nil || w.free()[pj.Cores] > best.free()[pj.Cores] {
+			best = w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/control/quorum/election.go
@@ -0,0 +1,163 @@
+package quorum
+
+import (
+	"time"
+
+	pj "papayajunction"
+)
+
+// startPreVote asks whether an election could be won, without raising the term.
+func (c *Core) startPreVote(now time.Duration) {
+	c.role = preCandidate
+	c.leaderID = ""
+	c.votes = map[string]bool{c.options.ID: true}
+	c.resetElection(now)
+	if c.isOnlyVoter() {
+		c.startElection(now, false)
+		return
+	}
+	c.askVotes(pj.MessagePreVote, c.term+1, false)
+}
+
+func (c *Core) startElection(now time.Duration, forced bool) {
+	c.role = candidate
+	c.term++
+	c.vote = c.options.ID
+	c.leaderID = ""
+	c.votes = map[string]bool{c.options.ID: true}
+	c.resetElection(now)
+	if c.isOnlyVoter() {
+		c.becomeLeader(now)
+		return
+	}
+	c.askVotes(pj.MessageVote, c.term, forced)
+}
+
+func (c *Core) askVotes(kind pj.PeerMessageKind, term uint64, forced bool) {
+	for _, id := range c.membership.Voters {
+		if id == c.options.ID {
+			continue
+		}
+		c.send(pj.PeerMessage{
+			Kind: kind, To: id, Term: term, Forced: forced,
+			Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(),
+		})
+	}
+}
+
+// handleVote answers a request for a vote or a pre-vote.
+func (c *Core) handleVote(now time.Duration, m pj.PeerMessage) {
+	preVote := m.Kind == pj.MessagePreVote
+	// While a leader may hold a lease that counts on this member, no vote is given and the
+	// term stays as it is.
+	if !m.Forced && (now < c.stickUntil || c.role == leader) && m.Term > c.term {
+		return
+	}
+	if m.Term > c.term && !preVote {
+		c.becomeFollower(now, m.Term, "")
+	}
+	upToDate := m.LogTerm > c.log.lastTerm() ||
+		(m.LogTerm == c.log.lastTerm() && m.Index >= c.log.lastIndex())
+	grant := upToDate && m.Term >= c.term
+	if preVote {
+		grant = grant && m.Term > c.term
+	} else {
+		grant = grant && m.Term == c.term && (c.vote == "" || c.vote == m.From) &&
+			(c.role == follower || c.role == preCandidate)
+	}
+	if grant && !preVote {
+		c.vote = m.From
+		c.resetElection(now)
+	}
+	reply := pj.PeerMessage{Kind: pj.MessageVoteReply, To: m.From, Reject: !grant}
+	if preVote {
+		reply.Kind = pj.MessagePreVoteReply
+		if grant {
+			reply.Term = m.Term
+		}
+	}
+	c.send(reply)
+}
+
+func (c *Core) handlePreVoteReply(now time.Duration, m pj.PeerMessage) {
+	if m.Reject {
+		if m.Term > c.term {
+			c.becomeFollower(now, m.Term, "")
+		}
+		return
+	}
+	if c.role != preCandidate || m.Term != c.term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.countVotes() >= c.majority() {
+		c.startElection(now, false)
+	}
+}
+
+func (c *Core) handleVoteReply(now time.Duration, m pj.PeerMessage) {
+	if c.role != candidate || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	if c.countVotes() >= c.majority() {
+		c.becomeLeader(now)
+	}
+}
+
+func (c *Core) countVotes() int {
+	n := 0
+	for _, id := range c.membership.Voters {
+		if c.votes[id] {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) becomeLeader(now time.Duration) {
+	c.role = leader
+	c.leaderID = c.options.ID
+	c.peers = make(map[string]*progress)
+	c.roundSent = make(map[uint64]time.Duration)
+	c.transferTo = ""
+	c.electNowSent = false
+	c.syncPeers(now)
+	c.termStart = c.log.append(c.term, pj.EntryEmpty, nil).Index
+	c.newRound(now)
+	c.broadcast(now, true)
+}
+
+// handleElectNow stands for election at once, because the leader handed over.
+func (c *Core) handleElectNow(now time.Duration) {
+	if c.role == leader || !c.isVoter(c.options.ID) {
+		return
+	}
+	c.startElection(now, true)
+}
+
+// Transfer hands leadership to another voter once that one has the whole log.
+func (c *Core) Transfer(now time.Duration, to string) error {
+	if c.role != leader {
+		return ErrNotLeader
+	}
+	p, ok := c.peers[to]
+	if !ok || !c.isVoter(to) {
+		return ErrNoSuchMember
+	}
+	if c.transferTo != "" {
+		return ErrTransferring
+	}
+	c.transferTo = to
+	c.transferDue = now + c.options.ElectionTimeout
+	c.tryElectNow(to, p)
+	return nil
+}
+
+func (c *Core) tryElectNow(id string, p *progress) {
+	if c.transferTo != id || c.electNowSent || p.match != c.log.lastIndex() {
+		return
+	}
+	c.electNowSent = true
+	c.send(pj.PeerMessage{Kind: pj.MessageElectNow, To: id})
+}
--- /dev/null
+++ b/internal/control/quorum/log.go
@@ -0,0 +1,167 @@
+package quorum
+
+import (
+	"encoding/json"
+
+	pj "papayajunction"
+)
+
+// raftLog is the log after the last snapshot, held in memory, and how far it got.
+type raftLog struct {
+	snapshot  pj.LogSnapshot // without Data once it was handed out
+	entries   []pj.LogEntry  // entries[0] has index first
+	first     uint64
+	prevTerm  uint64 // term of the entry before first
+	commit    uint64
+	applied   uint64
+	unstable  uint64 // first index that was not yet handed out to be written
+	persisted uint64
+}
+
+func (l *raftLog) load(recovered pj.Recovered) {
+	if recovered.Snapshot != nil {
+		l.snapshot = *recovered.Snapshot
+	}
+	l.entries = recovered.Entries
+	l.first = l.snapshot.Index + 1
+	l.prevTerm = l.snapshot.Term
+	if len(l.entries) > 0 {
+		l.first = l.entries[0].Index
+		if l.first <= l.snapshot.Index {
+			l.prevTerm = 0
+		}
+	}
+	l.commit = min(max(l.snapshot.Index, recovered.State.Commit), l.lastIndex())
+	l.applied = l.snapshot.Index
+	l.persisted = l.lastIndex()
+	l.unstable = l.persisted + 1
+}
+
+func (l *raftLog) lastIndex() uint64 {
+	return l.first + uint64(len(l.entries)) - 1
+}
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of the entry at index, and false if the entry isn't held.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.snapshot.Index:
+		return l.snapshot.Term, true
+	case index+1 == l.first && l.prevTerm != 0:
+		return l.prevTerm, true
+	case index < l.first || index > l.lastIndex():
+		return 0, false
+	}
+	return l.entries[index-l.first].Term, true
+}
+
+func (l *raftLog) append(term uint64, kind pj.EntryKind, data []byte) pj.LogEntry {
+	e := pj.LogEntry{Index: l.lastIndex() + 1, Term: term, Kind: kind, Data: data}
+	l.entries = append(l.entries, e)
+	return e
+}
+
+// merge adds a leader's entries after a matching prefix and reports whether any were replaced.
+func (l *raftLog) merge(entries []pj.LogEntry) (replaced bool) {
+	for i, e := range entries {
+		if e.Index <= l.snapshot.Index {
+			continue
+		}
+		held, ok := l.term(e.Index)
+		if ok && held == e.Term {
+			continue
+		}
+		if ok {
+			l.truncate(e.Index)
+			replaced = true
+		}
+		l.entries = append(l.entries, entries[i:]...)
+		break
+	}
+	return replaced
+}
+
+// truncate drops the entry at index and all after it.
+func (l *raftLog) truncate(index uint64) {
+	l.entries = append([]pj.LogEntry(nil), l.entries[:index-l.first]...)
+	l.unstable = min(l.unstable, index)
+	l.persisted = min(l.persisted, index-1)
+}
+
+// slice returns entries from index on, up to about maxBytes and at least one.
+func (l *raftLog) slice(from, to uint64, maxBytes int) []pj.LogEntry {
+	if from > to || from < l.first {
+		return nil
+	}
+	size := 0
+	end := from
+	for end <= to {
+		size += len(l.entries[end-l.first].Data)
+		if size > maxBytes && end > from {
+			break
+		}
+		end++
+	}
+	return l.entries[from-l.first : end-l.first : end-l.first]
+}
+
+// restore replaces the whole log by a snapshot.
+func (l *raftLog) restore(s pj.LogSnapshot) {
+	l.snapshot = s
+	l.entries = nil
+	l.first = s.Index + 1
+	l.prevTerm = s.Term
+	l.commit = s.Index
+	l.applied = s.Index
+	l.persisted = s.Index
+	l.unstable = s.Index + 1
+}
+
+// compact replaces the snapshot and drops entries up to keepAfter from memory.
+func (l *raftLog) compact(s pj.LogSnapshot, keepAfter uint64) {
+	l.snapshot = s
+	if keepAfter < l.first {
+		return
+	}
+	term, _ := l.term(keepAfter)
+	l.entries = append([]pj.LogEntry(nil), l.entries[keepAfter-l.first+1:]...)
+	l.first = keepAfter + 1
+	l.prevTerm = term
+}
+
+// latestMembership returns the newest membership in the log, committed or not.
+func (l *raftLog) latestMembership() pj.Membership {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		e := l.entries[i]
+		if e.Kind != pj.EntryMembership || e.Index <= l.snapshot.Index {
+			continue
+		}
+		var m pj.Membership
+		if json.Unmarshal(e.Data, &m) == nil {
+			return m
+		}
+	}
+	return l.snapshot.Membership
+}
+
+// membershipAt returns the membership in force at index.
+func (l *raftLog) membershipAt(index uint64) pj.Membership {
+	upTo := raftLog{snapshot: l.snapshot, first: l.first}
+	if index >= l.first {
+		upTo.entries = l.entries[:index-l.first+1]
+	}
+	return upTo.latestMembership()
+}
+
+func (l *raftLog) hasPendingMembership() bool {
+	for i := len(l.entries) - 1; i >= 0 && l.entries[i].Index > l.commit; i-- {
+		if l.entries[i].Kind == pj.EntryMembership {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/scheduler/reserve.go
@@ -0,0 +1,268 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	pj "papayajunction"
+)
+
+// Bounds of reservations.
+const (
+	maxReservations   = 8
+	reserveAfter      = 30 * time.Second // blocked work that has waited this long reserves
+	reservationLasts  = time.Minute      // after which a reservation is planned anew
+	unknownRunTime    = time.Hour        // assumed for tasks of which nothing is known
+	backfillTolerance = time.Second      // how long a backfilled task may overrun
+)
+
+// reservation keeps room on workers for an entry until all of it is free.
+type reservation struct {
+	entry *entry
+	holds map[string]pj.Resources
+	made  time.Duration
+	due   time.Duration // when the room will probably be free
+}
+
+func (s *Scheduler) hold(r *reservation) {
+	if r == nil {
+		return
+	}
+	for w, amount := range r.holds {
+		s.index.Hold(w, amount)
+	}
+}
+
+func (s *Scheduler) unhold(r *reservation) {
+	if r == nil {
+		return
+	}
+	for w, amount := range r.holds {
+		s.index.Unhold(w, amount)
+	}
+}
+
+// forgetReservation drops a reservation whose holds have ended already.
+func (s *Scheduler) forgetReservation(r *reservation) {
+	if r == nil {
+		return
+	}
+	r.entry.reservation = nil
+	for w := range r.holds {
+		s.dirty[w] = struct{}{}
+	}
+	s.reservations = slices.DeleteFunc(s.reservations, func(o *reservation) bool { return o == r })
+}
+
+func (s *Scheduler) dropReservation(r *reservation) {
+	if r == nil {
+		return
+	}
+	s.unhold(r)
+	s.forgetReservation(r)
+}
+
+// workers returns the workers that are held, in order of name.
+func (r *reservation) workers() []string {
+	return slices.Sorted(maps.Keys(r.holds))
+}
+
+// freeing is room that a running task will probably give back.
+type freeing struct {
+	at     time.Duration
+	worker string
+	amount pj.Resources
+}
+
+// reserve keeps the room for an entry that will be free soonest.
+func (s *Scheduler) reserve(now time.Duration, e *entry) {
+	if e.reservation != nil || len(s.reservations) >= maxReservations {
+		return
+	}
+	tasks := 1
+	if e.job.Kind == pj.KindGang {
+		tasks = len(e.pending)
+	}
+	var best *reservation
+	s.index.Racks(func(_ string, workers []string) {
+		if r := s.planReservation(now, e, workers, tasks); r != nil && (best == nil || r.due < best.due) {
+			best = r
+		}
+	})
+	if best == nil && tasks > 1 {
+		var all []string
+		s.index.Each(func(name, _ string, _ bool) bool {
+			all = append(all, name)
+			return true
+		})
+		best = s.planReservation(now, e, all, tasks)
+	}
+	if best == nil {
+		return
+	}
+	e.reservation = best
+	s.reservations = append(s.reservations, best)
+	s.hold(best)
+}
+
+// planReservation finds out when the workers will have room for the tasks, and where.
+func (s *Scheduler) planReservation(now time.Duration, e *entry, workers []string, tasks int) *reservation {
+	avoid := s.shape(e).Avoid
+	room := make(map[string]pj.Resources)
+	var later []freeing
+	count, possible := 0, 0
+	for _, w := range workers {
+		if _, avoided := avoid[w]; avoided || !s.index.Usable(w) {
+			continue
+		}
+		room[w] = s.index.Free(w)
+		count += times(room[w], e.amount)
+		possible += times(s.index.Capacity(w), e.amount)
+		for _, r := range s.onWorker[w] {
+			later = append(later, freeing{at: s.expectedEnd(now, r), worker: w, amount: r.reservation})
+		}
+	}
+	if possible < tasks {
+		return nil
+	}
+	slices.SortFunc(later, func(a, b freeing) int {
+		if a.at != b.at {
+			return int(min(max(a.at-b.at, -1), 1))
+		}
+		return strings.Compare(a.worker, b.worker)
+	})
+	due := now
+	for i := 0; count < tasks && i < len(later); i++ {
+		f := later[i]
+		before := times(room[f.worker], e.amount)
+		room[f.worker] = room[f.worker].Add(f.amount)
+		count += times(room[f.worker], e.amount) - before
+		due = f.at
+	}
+	if count < tasks {
+		return nil
+	}
+	return &reservation{entry: e, made: now, due: due, holds: holdsFor(room, e.amount, tasks)}
+}
+
+func holdsFor(room map[string]pj.Resources, amount pj.Resources, tasks int) map[string]pj.Resources {
+	holds := make(map[string]pj.Resources)
+	for _, w := range slices.Sorted(maps.Keys(room)) {
+		if n := min(times(room[w], amount), tasks); n > 0 {
+			holds[w] = amount.Times(int64(n))
+			tasks -= n
+		}
+	}
+	return holds
+}
+
+func (s *Scheduler) expectedEnd(now time.Duration, r *running) time.Duration {
+	if r.entry.job.Kind == pj.KindService {
+		return now + 1000*unknownRunTime
+	}
+	run := s.runTime(r.entry)
+	if run <= 0 {
+		run = unknownRunTime
+	}
+	return max(r.started+run, now)
+}
+
+func (s *Scheduler) runTime(e *entry) time.Duration {
+	declared := e.job.RunTime.Std()
+	if s.estimates == nil {
+		return declared
+	}
+	return s.estimates.RunTime(e.job.Queue, declared)
+}
+
+// claimHeld returns a worker on which room was kept for the entry and is free now.
+func (s *Scheduler) claimHeld(e *entry, shape pj.Shape) (string, bool) {
+	r := e.reservation
+	if r == nil {
+		return "", false
+	}
+	for _, w := range r.workers() {
+		amount := r.holds[w]
+		if _, avoided := shape.Avoid[w]; avoided || !s.index.Usable(w) {
+			continue
+		}
+		if !e.amount.Fits(s.index.Free(w).Add(amount)) {
+			continue
+		}
+		s.index.Unhold(w, amount)
+		rest := amount.Sub(e.amount).Max(pj.Resources{})
+		delete(r.holds, w)
+		if !rest.IsZero() {
+			r.holds[w] = rest
+			s.index.Hold(w, rest)
+		}
+		if len(r.holds) == 0 {
+			s.forgetReservation(r)
+		}
+		return w, true
+	}
+	return "", false
+}
+
+// backfill returns a worker whose room is kept for others, if the task will have ended before
+// they need it.
+func (s *Scheduler) backfill(now time.Duration, e *entry, shape pj.Shape) (string, bool) {
+	run := s.runTime(e)
+	if run <= 0 || e.job.Kind == pj.KindService || !e.job.Repeatable {
+		return "", false
+	}
+	for _, r := range s.reservations {
+		if r.entry == e || now+run > r.due {
+			continue
+		}
+		for _, w := range r.workers() {
+			if _, avoided := shape.Avoid[w]; avoided || !s.index.Usable(w) {
+				continue
+			}
+			if s.index.Capacity(w)[pj.Accelerators] > 0 && shape.Amount[pj.Accelerators] == 0 {
+				continue
+			}
+			if shape.Amount.Fits(s.index.Unreserved(w)) && s.onlyHolder(r, w) {
+				return w, true
+			}
+		}
+	}
+	return "", false
+}
+
+// onlyHolder reports whether no other reservation holds the worker.
+func (s *Scheduler) onlyHolder(r *reservation, worker string) bool {
+	for _, other := range s.reservations {
+		if _, holds := other.holds[worker]; holds && other != r {
+			return false
+		}
+	}
+	return true
+}
+
+// reviewReservations makes backfilled tasks give way that run too long, and plans reservations
+// anew that have not come true.
+func (s *Scheduler) reviewReservations(now time.Duration, plan *pj.Plan) {
+	for _, r := range slices.Clone(s.reservations) {
+		if now > r.due+backfillTolerance {
+			s.evictBackfilled(r, plan)
+		}
+		if now > max(r.made+reservationLasts, r.due+reservationLasts) {
+			e := r.entry
+			s.dropReservation(r)
+			s.reserve(now, e)
+		}
+	}
+}
+
+func (s *Scheduler) evictBackfilled(r *reservation, plan *pj.Plan) {
+	for _, w := range r.workers() {
+		for _, t := range s.onWorker[w] {
+			if t.backfilled && !t.preempting {
+				s.preempt(t, plan)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/api/operators.go
@@ -0,0 +1,147 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	pj "papayajunction"
+)
+
+const maxPublicationBytes = 16 << 20
+
+// Times of reading the configuration with a version that the reader has seen already.
+const (
+	catchUpWait = 3 * time.Second
+	catchUpStep = 50 * time.Millisecond
+)
+
+func (a *API) announce(w http.ResponseWriter, r *http.Request) {
+	var an pj.Announcement
+	if err := readJSON(w, r, maxReportBytes, &an); err != nil {
+		writeError(w, err)
+		return
+	}
+	reply, err := a.node.Announce(r.Context(), an)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (a *API) report(w http.ResponseWriter, r *http.Request) {
+	var report pj.Report
+	if err := readJSON(w, r, maxReportBytes, &report); err != nil {
+		writeError(w, err)
+		return
+	}
+	if report.Worker != r.PathValue("worker") {
+		writeError(w, pj.Refuse(pj.CodeBadRequest, "the path names another worker than the report"))
+		return
+	}
+	directive, err := a.node.Report(r.Context(), report)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, directive)
+}
+
+func (a *API) publish(w http.ResponseWriter, r *http.Request) {
+	var p pj.Publication
+	if err := readJSON(w, r, maxPublicationBytes, &p); err != nil {
+		writeError(w, err)
+		return
+	}
+	published, err := a.node.Publish(r.Context(), p)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, published)
+}
+
+// configuration answers with what is in force; ?at_least=N waits until this VM knows version N.
+func (a *API) configuration(w http.ResponseWriter, r *http.Request) {
+	least, err := strconv.ParseUint(r.URL.Query().Get("at_least"), 10, 64)
+	if err != nil {
+		least = 0
+	}
+	until := time.Now().Add(catchUpWait)
+	for {
+		config := a.node.Directory().Configuration()
+		_, confirmed := a.node.Directory().Confirmed()
+		if confirmed && config.Version >= least {
+			writeJSON(w, http.StatusOK, config)
+			return
+		}
+		if time.Now().After(until) || r.Context().Err() != nil {
+			writeError(w, pj.Refuse(pj.CodeNoQuorum, "this VM has version %d and can't reach a newer one now", config.Version))
+			return
+		}
+		time.Sleep(catchUpStep)
+	}
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	st, err := a.node.Status(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, st)
+}
+
+func (a *API) listKeys(w http.ResponseWriter, r *http.Request) {
+	workspace := r.PathValue("workspace")
+	if workspace == operatorAll {
+		workspace = ""
+	}
+	keys, err := a.node.Keys(r.Context(), workspace)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	for i := range keys {
+		keys[i].Hash = ""
+	}
+	writeJSON(w, http.StatusOK, keys)
+}
+
+// operatorAll stands for all workspaces in the path of keys.
+const operatorAll = "-"
+
+func (a *API) grantKey(w http.ResponseWriter, r *http.Request) {
+	k := pj.KeyGrant{}
+	if r.ContentLength != 0 {
+		if err := readJSON(w, r, a.settings.MaxBodyBytes, &k); err != nil {
+			writeError(w, err)
+			return
+		}
+	}
+	k.Workspace = r.PathValue("workspace")
+	if k.Secret != "" && len(k.Secret) < minSecretBytes {
+		writeError(w, pj.Refuse(pj.CodeBadRequest, "a secret must be at least %d bytes long", minSecretBytes))
+		return
+	}
+	granted, err := a.node.GrantKey(r.Context(), k)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, granted)
+}
+
+const minSecretBytes = 16
+
+func (a *API) withdrawKey(w http.ResponseWriter, r *http.Request) {
+	workspace, id := r.PathValue("workspace"), r.PathValue("id")
+	if err := a.node.WithdrawKey(r.Context(), workspace, id); err != nil {
+		e := *pj.AsError(err)
+		e.Message = "key " + id + " is refused by this VM from now on, but not yet everywhere: " + e.Message
+		writeError(w, &e)
+		return
+	}
+	writeJSON(w, http.StatusOK, pj.Key{ID: id, Workspace: workspace, Withdrawn: true})
+}
--- /dev/null
+++ b/internal/server/daemon/daemon.go
@@ -0,0 +1,156 @@
+// Package daemon puts one VM's parts together into a kratos application.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	kitlog "github.com/go-kit/log"
+	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"papayajunction/internal/config/settings"
+	"papayajunction/internal/server/api"
+	"papayajunction/internal/server/node"
+	"papayajunction/internal/server/peer"
+)
+
+// Times of stopping.
+const (
+	balancerNotices = 2 * time.Second // new requests are still served this long after "not ready"
+	handOverTime    = 3 * time.Second
+	activePoll      = 20 * time.Millisecond
+	stopSlack       = 5 * time.Second
+	gcPercent       = 50
+)
+
+// Daemon is one VM of the system.
+type Daemon struct {
+	settings settings.Settings
+	logger   kitlog.Logger
+	node     *node.Node
+	api      *api.API
+	app      *kratos.App
+}
+
+// NewLogger returns a logger that writes one key=value line for each event, or nothing if the
+// settings say so.
+func NewLogger(w io.Writer, s settings.Settings) kitlog.Logger {
+	if s.Quiet {
+		return kitlog.NewNopLogger()
+	}
+	logger := kitlog.NewLogfmtLogger(kitlog.NewSyncWriter(w))
+	return kitlog.With(logger, "ts", kitlog.DefaultTimestampUTC, "vm", s.VM)
+}
+
+// New returns a daemon that is ready to run and a function that frees what it holds.
+func New(s settings.Settings, logger kitlog.Logger) (*Daemon, func(), error) {
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(s.MemoryLimit)
+		debug.SetGCPercent(gcPercent)
+	}
+	tlsConfig, err := peer.TLS(s)
+	if err != nil {
+		return nil, nil, fmt.Errorf("prepare TLS: %w", err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Listen)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen on %s: %w", s.Listen, err)
+	}
+	set := metrics.NewSet()
+	n, closeNode, err := node.New(s, logger, set)
+	if err != nil {
+		return nil, nil, fmt.Errorf("start control side: %w", err)
+	}
+	a, closeAPI := api.New(s, n, logger, set)
+	d := &Daemon{settings: s, logger: logger, node: n, api: a}
+	options := []khttp.ServerOption{khttp.Listener(listener), khttp.Timeout(0), khttp.Address(s.Listen)}
+	if tlsConfig != nil {
+		options = append(options, khttp.TLSConfig(tlsConfig))
+	}
+	server := khttp.NewServer(options...)
+	server.Protocols = new(http.Protocols)
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetHTTP2(true)
+	server.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	path, handler := peer.NewHandler(s.VM, n, tlsConfig != nil)
+	server.HandlePrefix(path, handler)
+	server.HandlePrefix("/", a.Handler())
+	d.app = kratos.New(
+		kratos.Name("papayad"), kratos.ID(s.VM), kratos.Server(server),
+		kratos.Logger(kratosLogger{logger: logger}),
+		kratos.BeforeStop(d.drain), kratos.StopTimeout(s.DrainTimeout+stopSlack),
+	)
+	cleanup := func() {
+		closeAPI()
+		closeNode()
+	}
+	return d, cleanup, nil
+}
+
+// Run serves until SIGTERM or SIGINT, or until Stop, and lets requests in flight end.
+func (d *Daemon) Run() error {
+	_ = d.logger.Log("event", "vm_started", "zone", d.settings.Zone, "listen", d.settings.Listen)
+	if err := d.app.Run(); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	_ = d.logger.Log("event", "vm_stopped")
+	return nil
+}
+
+// Stop makes Run return.
+func (d *Daemon) Stop() error {
+	return d.app.Stop()
+}
+
+// Node returns the control side.
+func (d *Daemon) Node() *node.Node {
+	return d.node
+}
+
+// drain is called before the server closes: the balancer is told, leaderships are handed over, and
+// what is in flight ends.
+func (d *Daemon) drain(context.Context) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	defer cancel()
+	d.api.Stop()
+	if len(d.settings.VMs) > 1 {
+		handOver, done := context.WithTimeout(ctx, handOverTime)
+		d.node.Drain(handOver)
+		done()
+		wait(ctx, balancerNotices)
+	}
+	d.api.Refuse()
+	for ctx.Err() == nil && d.api.Active() > 0 {
+		wait(ctx, activePoll)
+	}
+	_ = d.logger.Log("event", "drained", "in_flight", d.api.Active())
+	return nil
+}
+
+func wait(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+// kratosLogger passes the framework's log lines on.
+type kratosLogger struct {
+	logger kitlog.Logger
+}
+
+// Log is part of the framework's logger.
+func (l kratosLogger) Log(level kratoslog.Level, keyvals ...any) error {
+	if level < kratoslog.LevelWarn {
+		return nil
+	}
+	return l.logger.Log(append([]any{"event", "framework", "level", level.String()}, keyvals...)...)
+}
--- /dev/null
+++ b/internal/server/node/cell.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	pj "papayajunction"
+	"papayajunction/internal/config/topology"
+	"papayajunction/internal/control/accountant"
+	"papayajunction/internal/control/cell"
+	"papayajunction/internal/control/replica"
+)
+
+// cellMember is this VM's part in one zone's group. Its fields belong to the control goroutine.
+type cellMember struct {
+	node       *Node
+	zone       string
+	group      *replica.Group
+	state      *cell.State
+	accountant *accountant.Accountant // nil unless this VM leads
+	fleetTerm  uint64
+}
+
+func (c *cellMember) leadChanged(serving bool, term uint64) {
+	if c.accountant != nil {
+		c.accountant.Close()
+		c.accountant = nil
+		c.node.log("event", "cell_lead_lost", "zone", c.zone, "term", term)
+	}
+	if !serving {
+		return
+	}
+	c.node.log("event", "cell_lead_gained", "zone", c.zone, "term", term)
+	c.accountant = accountant.New(accountant.Options{
+		Zone: c.zone, Term: term, State: c.state, Group: c.group, Clock: c.node.clock,
+		Unix:   func() int64 { return time.Now().UnixMilli() },
+		Rand:   newRand(),
+		Config: c.node.directory.Configuration,
+		Events: &cellEvents{node: c.node, zone: c.zone},
+	})
+}
+
+func (c *cellMember) tick() {
+	if c.accountant != nil {
+		c.accountant.Tick()
+	}
+}
+
+// cellEvents writes what happens in a cell to the log and the metrics.
+type cellEvents struct {
+	node *Node
+	zone string
+}
+
+// TaskStarted is part of accountant.Events.
+func (e *cellEvents) TaskStarted(job *pj.Job, st pj.Start) {
+	e.node.log("event", "task_started", "zone", e.zone, "job", job.ID, "task", st.Task, "worker", st.Worker,
+		"queue", job.Queue, "workspace", job.Workspace, "waited", st.Waited.Round(time.Millisecond))
+	e.node.histogram("papaya_task_wait_seconds", job.Workspace, string(job.Kind), job.Urgency).Update(st.Waited.Seconds())
+}
+
+// TaskEnded is part of accountant.Events.
+func (e *cellEvents) TaskEnded(job *pj.Job, end cell.EndAttempt, run time.Duration) {
+	e.node.log("event", "task_ended", "zone", e.zone, "job", job.ID, "task", end.Attempt.Task,
+		"attempt", end.Attempt.Number, "phase", end.Phase, "reason", end.Reason)
+	e.node.histogram("papaya_task_run_seconds", job.Workspace, string(job.Kind), job.Urgency).Update(run.Seconds())
+}
+
+// WorkerChanged is part of accountant.Events.
+func (e *cellEvents) WorkerChanged(worker, state, detail string) {
+	e.node.log("event", "worker_changed", "zone", e.zone, "worker", worker, "state", state, "detail", detail)
+}
+
+// withCell runs work on the control goroutine if this VM leads the zone's cell.
+func withCell[R any](ctx context.Context, n *Node, zone string, work func(a *accountant.Accountant, reply func(R, error))) (R, error) {
+	return await(ctx, n.loop, func(reply func(R, error)) {
+		c := n.cells[zone]
+		if c == nil || c.accountant == nil || !c.group.Serving() {
+			var none R
+			reply(none, n.notLeader(topology.CellGroup(zone)))
+			return
+		}
+		work(c.accountant, reply)
+	})
+}
+
+// reportAllotments tells the fleet leader about each cell that this VM leads.
+func (n *Node) reportAllotments(ctx context.Context) {
+	for _, zone := range n.topology.Zones() {
+		report, err := withCell(ctx, n, zone, func(a *accountant.Accountant, reply func(pj.AllotmentReport, error)) {
+			reply(a.AllotmentReport(n.cells[zone].fleetTerm), nil)
+		})
+		if err != nil {
+			continue
+		}
+		var answer pj.AllotmentReply
+		ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+		err = n.callLeader(ctx, topology.FleetGroup, opAllotments, 0, report, &answer)
+		cancel()
+		if err != nil {
+			continue
+		}
+		n.loop.Post(func() {
+			c := n.cells[zone]
+			c.fleetTerm = answer.FleetTerm
+			if c.accountant != nil {
+				c.accountant.SetFleet(answer)
+			}
+		})
+	}
+}
+
+// jobQuery asks for a job; Workspace is empty for operators.
+type jobQuery struct {
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	WaitMS    int64  `json:"wait_ms,omitempty"`
+}
+
+// zonedGrant is a grant request for a zone.
+type zonedGrant struct {
+	Zone    string          `json:"zone"`
+	Request pj.GrantRequest `json:"request"`
+}
+
+// zonedRelease is a release for a zone.
+type zonedRelease struct {
+	Zone    string          `json:"zone"`
+	Release pj.GrantRelease `json:"release"`
+}
+
+// abandon tells that the caller of a request has gone.
+type abandon struct {
+	Zone    string `json:"zone"`
+	Queue   string `json:"queue"`
+	Request string `json:"request"`
+}
+
+func (n *Node) runSubmit(ctx context.Context, job pj.Job) (pj.JobStatus, error) {
+	return withCell(ctx, n, pj.HomeZone(job.ID), func(a *accountant.Accountant, reply func(pj.JobStatus, error)) {
+		a.Submit(job, reply)
+	})
+}
+
+func (n *Node) runCancel(ctx context.Context, q jobQuery) (pj.JobStatus, error) {
+	return withCell(ctx, n, pj.HomeZone(q.ID), func(a *accountant.Accountant, reply func(pj.JobStatus, error)) {
+		a.Cancel(q.ID, q.Workspace, reply)
+	})
+}
+
+func (n *Node) runJob(ctx context.Context, q jobQuery) (pj.JobStatus, error) {
+	return withCell(ctx, n, pj.HomeZone(q.ID), func(a *accountant.Accountant, reply func(pj.JobStatus, error)) {
+		a.Status(q.ID, q.Workspace, time.Duration(q.WaitMS)*time.Millisecond, reply)
+	})
+}
+
+func (n *Node) runReport(ctx context.Context, r pj.Report) (pj.Directive, error) {
+	return withCell(ctx, n, r.Zone, func(a *accountant.Accountant, reply func(pj.Directive, error)) {
+		a.Report(r, reply)
+	})
+}
+
+func (n *Node) runAnnounce(ctx context.Context, an pj.Announcement) (pj.AnnouncementReply, error) {
+	return withCell(ctx, n, an.Zone, func(a *accountant.Accountant, reply func(pj.AnnouncementReply, error)) {
+		reply(pj.AnnouncementReply{RenewWithinMS: an.TTLMS / 2}, a.Announce(an))
+	})
+}
+
+func (n *Node) runGrant(ctx context.Context, g zonedGrant) (pj.Grant, error) {
+	return withCell(ctx, n, g.Zone, func(a *accountant.Accountant, reply func(pj.Grant, error)) {
+		a.Grant(g.Request, reply)
+	})
+}
+
+func (n *Node) runRelease(ctx context.Context, r zonedRelease) (struct{}, error) {
+	return withCell(ctx, n, r.Zone, func(a *accountant.Accountant, reply func(struct{}, error)) {
+		a.Release(r.Release)
+		reply(struct{}{}, nil)
+	})
+}
+
+func (n *Node) runAbandon(ctx context.Context, b abandon) (struct{}, error) {
+	return withCell(ctx, n, b.Zone, func(a *accountant.Accountant, reply func(struct{}, error)) {
+		a.Abandon(b.Queue, b.Request)
+		reply(struct{}{}, nil)
+	})
+}
+
+func (n *Node) runCellStatus(ctx context.Context, zone string) (pj.CellStatus, error) {
+	return withCell(ctx, n, zone, func(a *accountant.Accountant, reply func(pj.CellStatus, error)) {
+		st := a.CellStatus()
+		st.Leader = n.settings.VM
+		reply(st, nil)
+	})
+}
--- /dev/null
+++ b/internal/server/node/client.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pj "papayajunction"
+	"papayajunction/internal/config/operator"
+	"papayajunction/internal/config/topology"
+	"papayajunction/internal/control/directory"
+	"papayajunction/internal/control/fleet"
+)
+
+const reportHoldMost = 1500 * time.Millisecond // how long a leader may hold a worker's report
+
+// histogram returns the histogram of a workspace and class.
+func (n *Node) histogram(name, workspace, kind string, urgency pj.Urgency) *metrics.Histogram {
+	return n.metrics.GetOrCreateHistogram(fmt.Sprintf(
+		`%s{workspace=%q,kind=%q,urgency=%q}`, name, workspace, kind, urgency.String()))
+}
+
+// Submit makes a job durable in its home cell.
+func (n *Node) Submit(ctx context.Context, job pj.Job) (st pj.JobStatus, err error) {
+	return st, n.callLeader(ctx, topology.CellGroup(pj.HomeZone(job.ID)), opSubmit, 0, job, &st)
+}
+
+// Job returns a job's status, once it has ended or wait is over.
+func (n *Node) Job(ctx context.Context, id, workspace string, wait time.Duration) (st pj.JobStatus, err error) {
+	q := jobQuery{ID: id, Workspace: workspace, WaitMS: wait.Milliseconds()}
+	hold := time.Duration(0)
+	if wait > 0 {
+		hold = wait + waitSlack
+	}
+	return st, n.callLeader(ctx, topology.CellGroup(pj.HomeZone(id)), opJob, hold, q, &st)
+}
+
+// Cancel ends a job.
+func (n *Node) Cancel(ctx context.Context, id, workspace string) (st pj.JobStatus, err error) {
+	q := jobQuery{ID: id, Workspace: workspace}
+	return st, n.callLeader(ctx, topology.CellGroup(pj.HomeZone(id)), opCancel, 0, q, &st)
+}
+
+// Report passes a worker's report to its cell's leader.
+func (n *Node) Report(ctx context.Context, r pj.Report) (d pj.Directive, err error) {
+	return d, n.callLeader(ctx, topology.CellGroup(r.Zone), opReport, reportHoldMost, r, &d)
+}
+
+// Announce passes an endpoint's announcement to its cell's leader.
+func (n *Node) Announce(ctx context.Context, an pj.Announcement) (r pj.AnnouncementReply, err error) {
+	return r, n.callLeader(ctx, topology.CellGroup(an.Zone), opAnnounce, 0, an, &r)
+}
+
+// Grant asks a zone's leader for a slot. When ctx ends first, the request is abandoned.
+func (n *Node) Grant(ctx context.Context, zone string, r pj.GrantRequest) (g pj.Grant, err error) {
+	hold := time.Duration(r.WaitMS) * time.Millisecond
+	err = n.callLeader(ctx, topology.CellGroup(zone), opGrant, hold, zonedGrant{Zone: zone, Request: r}, &g)
+	if err != nil && pj.AsError(err).Code == pj.CodeOutcomeUnknown {
+		go n.abandon(zone, r)
+		// A grant that never reached this VM was never used.
+		err = pj.Refuse(pj.CodeNoQuorum, "no slot was granted in time: %v", err)
+	}
+	return g, err
+}
+
+func (n *Node) abandon(zone string, r pj.GrantRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_ = n.callLeader(ctx, topology.CellGroup(zone), opAbandon, 0, abandon{Zone: zone, Queue: r.Queue, Request: r.Request}, nil)
+}
+
+// Release gives a slot back, without waiting.
+func (n *Node) Release(zone string, r pj.GrantRelease) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		_ = n.callLeader(ctx, topology.CellGroup(zone), opRelease, 0, zonedRelease{Zone: zone, Release: r}, nil)
+	}()
+}
+
+// Publish replaces the configuration.
+func (n *Node) Publish(ctx context.Context, p pj.Publication) (out pj.Published, err error) {
+	if _, issues := operator.Parse(p.Files); len(issues) > 0 {
+		e := pj.Refuse(pj.CodeBadRequest, "%d fault(s) in the operator files; nothing was changed", len(issues))
+		e.Details = issues
+		return out, e
+	}
+	defer n.resync()
+	return out, n.callLeader(ctx, topology.FleetGroup, opPublish, 0, p, &out)
+}
+
+// GrantKey makes a new key for a workspace. The secret is in the answer only. With an id of the
+// caller's choice and its own secret, the same call may be sent again.
+func (n *Node) GrantKey(ctx context.Context, k pj.KeyGrant) (pj.KeyGrant, error) {
+	k.ID = cmp.Or(k.ID, "k-"+randomHex(6))
+	k.Secret = cmp.Or(k.Secret, "pj_"+randomHex(24))
+	key := pj.Key{ID: k.ID, Workspace: k.Workspace, Hash: directory.HashSecret(k.Secret)}
+	if err := n.callLeader(ctx, topology.FleetGroup, opGrantKey, 0, key, nil); err != nil {
+		return pj.KeyGrant{}, err
+	}
+	n.resync()
+	n.log("event", "key_granted", "workspace", k.Workspace, "key", k.ID)
+	return k, nil
+}
+
+func randomHex(bytes int) string {
+	b := make([]byte, bytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// WithdrawKey ends a key. This VM refuses it from now on, even if the fleet can't be told.
+func (n *Node) WithdrawKey(ctx context.Context, workspace, id string) error {
+	n.directory.Deny(id)
+	n.log("event", "key_withdrawn", "workspace", workspace, "key", id)
+	defer n.resync()
+	return n.callLeader(ctx, topology.FleetGroup, opWithdrawKey, 0, fleet.Withdraw{Workspace: workspace, ID: id}, nil)
+}
+
+// Keys lists the keys of a workspace, or all for "".
+func (n *Node) Keys(ctx context.Context, workspace string) (keys []pj.Key, err error) {
+	return keys, n.callLeader(ctx, topology.FleetGroup, opListKeys, 0, workspace, &keys)
+}
+
+// Status returns the operators' view of the system from this VM.
+func (n *Node) Status(ctx context.Context) (pj.Status, error) {
+	ago, confirmed := n.directory.Confirmed()
+	st := pj.Status{
+		VM: n.settings.VM, Zone: n.settings.Zone,
+		Version:     n.directory.Configuration().Version,
+		KeysInForce: n.directory.KeysInForce(),
+	}
+	st.VersionSeconds = -1
+	if confirmed {
+		st.VersionSeconds = int64(ago.Seconds())
+	}
+	for _, vm := range n.topology.VMs() {
+		st.VMs = append(st.VMs, pj.VMStatus{Name: vm.Name, Zone: vm.Zone, Replica: vm.Replica})
+	}
+	for _, zone := range n.topology.Zones() {
+		st.Cells = append(st.Cells, n.cellStatus(ctx, zone))
+	}
+	short, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if err := n.callLeader(short, topology.FleetGroup, opFleetStatus, 0, struct{}{}, &st.Workspaces); err != nil {
+		n.log("event", "fleet_status_missing", "err", err)
+	}
+	slices.SortFunc(st.Workspaces, func(a, b pj.WorkspaceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	err := n.loop.Do(ctx, func() { st.Groups = n.groupStatus() })
+	return st, err
+}
+
+func (n *Node) cellStatus(ctx context.Context, zone string) pj.CellStatus {
+	var st pj.CellStatus
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if err := n.callLeader(ctx, topology.CellGroup(zone), opCellStatus, 0, zone, &st); err != nil {
+		st = pj.CellStatus{Zone: zone, Problem: pj.AsError(err).Message}
+	}
+	return st
+}
+
+func (n *Node) groupStatus() []pj.GroupStatus {
+	var list []pj.GroupStatus
+	for _, name := range n.topology.Groups() {
+		g := n.host.Group(name)
+		if g == nil {
+			continue
+		}
+		l := g.Lead()
+		list = append(list, pj.GroupStatus{
+			Name: name, Term: l.Term, Leader: l.Leader, Applied: g.Applied(), Members: g.Membership().Voters,
+		})
+	}
+	return list
+}
+
+// Ready reports whether this VM can serve: it knows the configuration, and its zone has a leader.
+func (n *Node) Ready() bool {
+	_, confirmed := n.directory.Confirmed()
+	return confirmed
+}
--- /dev/null
+++ b/internal/server/peer/client.go
@@ -0,0 +1,77 @@
+// Package peer carries messages and calls between the VMs of the system over connect.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"papayajunction/internal/config/settings"
+)
+
+// Times of connections between VMs.
+const (
+	dialTimeout = 2 * time.Second
+	pingEvery   = 2 * time.Second // after which a silent connection is tested
+	pingTimeout = 2 * time.Second // after which it is given up
+	idleTimeout = time.Minute
+)
+
+// TLS returns the configuration with which VMs identify themselves to each other, or nil for plain
+// connections on loopback addresses.
+func TLS(s settings.Settings) (*tls.Config, error) {
+	if s.TLSCert == "" {
+		return nil, nil //nolint:nilnil // no TLS is a valid setting, not a missing value
+	}
+	cert, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate: %w", err)
+	}
+	pem, err := os.ReadFile(filepath.Clean(s.TLSCA))
+	if err != nil {
+		return nil, fmt.Errorf("read certificate authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.New("the file of the certificate authority holds no certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.VerifyClientCertIfGiven,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// newClient returns an HTTP/2 client whose traffic is counted for the named VM.
+func newClient(vm string, tlsConfig *tls.Config, traffic *Traffic) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := new(http.Protocols)
+	if tlsConfig == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	transport := &http.Transport{
+		Protocols:       protocols,
+		TLSClientConfig: tlsConfig.Clone(),
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingEvery, PingTimeout: pingTimeout},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, fmt.Errorf("dial VM %s: %w", vm, err)
+			}
+			return traffic.count(vm, conn), nil
+		},
+	}
+	return &http.Client{Transport: transport}
+}
--- /dev/null
+++ b/internal/server/peer/service.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	pj "papayajunction"
+	"papayajunction/internal/server/peer/peerpb"
+	"papayajunction/internal/server/peer/peerpb/peerpbconnect"
+)
+
+// maxMessageBytes bounds one message between VMs; snapshots are the largest.
+const maxMessageBytes = 64 << 20
+
+// Receiver handles what other VMs send.
+type Receiver interface {
+	Deliver(messages []pj.PeerMessage)
+	Run(ctx context.Context, operation string, argument []byte) (any, error)
+}
+
+// NewHandler returns the path and the handler of the service between VMs. With identified, only
+// callers with a certificate of the VMs' authority are heard.
+func NewHandler(self string, receiver Receiver, identified bool) (string, http.Handler) {
+	path, handler := peerpbconnect.NewPeerServiceHandler(
+		&service{self: self, receiver: receiver},
+		connect.WithReadMaxBytes(maxMessageBytes),
+	)
+	if !identified {
+		return path, handler
+	}
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+			http.Error(w, "a certificate of the system's authority is needed", http.StatusForbidden)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+type service struct {
+	self     string
+	receiver Receiver
+}
+
+// Deliver hands in the messages of a stream until it ends.
+func (s *service) Deliver(_ context.Context, stream *connect.ClientStream[peerpb.Batch]) (*connect.Response[peerpb.DeliverSummary], error) {
+	for stream.Receive() {
+		batch := stream.Msg()
+		if batch.GetToVm() != s.self {
+			return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("this is another VM"))
+		}
+		s.receiver.Deliver(decodeAll(batch.GetMessages()))
+	}
+	return connect.NewResponse(&peerpb.DeliverSummary{}), nil
+}
+
+// Call runs one operation.
+func (s *service) Call(ctx context.Context, r *connect.Request[peerpb.CallRequest]) (*connect.Response[peerpb.CallResponse], error) {
+	response := &peerpb.CallResponse{}
+	value, err := s.receiver.Run(ctx, r.Msg.GetOperation(), r.Msg.GetBody())
+	if err != nil {
+		response.Error, err = json.Marshal(pj.AsError(err))
+	} else {
+		response.Body, err = json.Marshal(value)
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,233 @@
+// Package worker is a stand-in for a VM that runs tasks: it keeps to the protocol of reports and
+// leases, and its tasks only let time pass.
+package worker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	pj "papayajunction"
+	"papayajunction/internal/standin/tally"
+)
+
+const defaultRun = 300 * time.Millisecond
+
+// Options configure a stand-in worker.
+type Options struct {
+	Name        string
+	Zone        string
+	Rack        string
+	Incarnation string
+	Capacity    pj.Resources
+	Run         time.Duration // run time of tasks that declare none; 0 means a short one
+	FailRate    float64       // part of the tasks that fail
+	UsageFactor float64       // what tasks use, as a multiple of their reservation; 0 means 0.8
+	Random      func() float64
+	Tally       *tally.Tally
+}
+
+const defaultUsage = 0.8
+
+// Worker is the state of a stand-in worker. Its methods must be called from one goroutine.
+type Worker struct {
+	options    Options
+	term       uint64
+	sequence   uint64
+	leaseUntil time.Duration
+	tasks      map[pj.AttemptID]*task
+	refused    map[pj.AttemptID]struct{} // stopped before they were started
+	draining   bool
+}
+
+type task struct {
+	action  pj.Action
+	phase   pj.Phase
+	reason  string
+	result  string
+	started time.Duration
+	end     time.Duration // 0 for a service
+	fails   bool
+}
+
+// New returns a worker without tasks.
+func New(options Options) *Worker {
+	if options.Random == nil {
+		options.Random = func() float64 { return 1 }
+	}
+	return &Worker{
+		options: options,
+		tasks:   make(map[pj.AttemptID]*task),
+		refused: make(map[pj.AttemptID]struct{}),
+	}
+}
+
+// Drain makes the worker report that it wants no new tasks.
+func (w *Worker) Drain() {
+	w.draining = true
+}
+
+// Report returns the next report.
+func (w *Worker) Report(now time.Duration) pj.Report {
+	w.Tick(now)
+	w.sequence++
+	r := pj.Report{
+		Worker: w.options.Name, Zone: w.options.Zone, Rack: w.options.Rack, Incarnation: w.options.Incarnation,
+		Sequence: w.sequence, Term: w.term, Capacity: w.options.Capacity, Draining: w.draining,
+	}
+	ids := slices.SortedFunc(maps.Keys(w.tasks), func(a, b pj.AttemptID) int {
+		return cmp.Or(strings.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+	})
+	for _, id := range ids {
+		r.Tasks = append(r.Tasks, w.tasks[id].report(now, id, cmp.Or(w.options.UsageFactor, defaultUsage)))
+	}
+	return r
+}
+
+func (t *task) report(now time.Duration, id pj.AttemptID, factor float64) pj.TaskReport {
+	tr := pj.TaskReport{Attempt: id, Phase: t.phase, Reason: t.reason, Result: t.result}
+	if t.phase == pj.PhaseRunning {
+		for d, reserved := range t.action.Reservation {
+			tr.Usage[d] = int64(float64(reserved) * factor)
+		}
+		tr.Usage[pj.Accelerators] = t.action.Reservation[pj.Accelerators]
+		return tr
+	}
+	if t.end > 0 {
+		tr.RunMS = (min(now, t.end) - t.started).Milliseconds()
+	}
+	return tr
+}
+
+// Handle takes in the answer to the report that was sent at the given time.
+func (w *Worker) Handle(now, sent time.Duration, d pj.Directive) {
+	w.Tick(now)
+	if d.Term < w.term {
+		return
+	}
+	w.term = d.Term
+	if d.LeaseMS > 0 {
+		w.leaseUntil = max(w.leaseUntil, sent+time.Duration(d.LeaseMS)*time.Millisecond)
+	}
+	for _, id := range d.Acknowledged {
+		delete(w.refused, id)
+		if t := w.tasks[id]; t != nil && t.phase.Ended() {
+			delete(w.tasks, id)
+		}
+	}
+	for _, a := range d.Actions {
+		w.act(now, a)
+	}
+}
+
+func (w *Worker) act(now time.Duration, a pj.Action) {
+	t := w.tasks[a.Attempt]
+	switch a.Verb {
+	case pj.VerbStart:
+		if _, refused := w.refused[a.Attempt]; t == nil && !refused && now < w.leaseUntil {
+			w.start(now, a)
+		}
+	case pj.VerbStop, pj.VerbCheckpoint:
+		if t == nil {
+			w.refused[a.Attempt] = struct{}{}
+			w.tasks[a.Attempt] = &task{action: a, phase: pj.PhaseStopped, reason: "stopped before it was started"}
+			return
+		}
+		w.end(a.Attempt, t, pj.PhaseStopped, "told to "+string(a.Verb))
+	case pj.VerbThrottle:
+	}
+}
+
+func (w *Worker) start(now time.Duration, a pj.Action) {
+	t := &task{action: a, phase: pj.PhaseRunning, started: now}
+	if a.Kind != pj.KindService {
+		t.end = now + cmp.Or(a.RunTime.Std(), w.options.Run, defaultRun)
+	}
+	t.fails = w.options.Random() < w.options.FailRate
+	w.tasks[a.Attempt] = t
+	if w.options.Tally != nil {
+		w.options.Tally.TaskStarted(a.Attempt.Job, a.Attempt.Task, w.options.Name+"/"+w.options.Incarnation)
+	}
+}
+
+func (w *Worker) end(id pj.AttemptID, t *task, phase pj.Phase, reason string) {
+	if t.phase.Ended() {
+		return
+	}
+	t.phase = phase
+	t.reason = reason
+	if w.options.Tally != nil {
+		w.options.Tally.TaskEnded(id.Job, id.Task, w.options.Name+"/"+w.options.Incarnation, phase == pj.PhaseFinished)
+	}
+}
+
+// Tick ends tasks whose time is over, and all tasks once the lease has run out. It returns whether
+// any task ended.
+func (w *Worker) Tick(now time.Duration) bool {
+	ended := false
+	for id, t := range w.tasks {
+		if t.phase.Ended() {
+			continue
+		}
+		switch {
+		case t.end > 0 && now >= t.end && t.end < w.leaseUntil:
+			w.finish(id, t)
+		case now >= w.leaseUntil:
+			w.end(id, t, pj.PhaseStopped, "the lease ran out")
+		default:
+			continue
+		}
+		ended = true
+	}
+	return ended
+}
+
+func (w *Worker) finish(id pj.AttemptID, t *task) {
+	if t.fails {
+		w.end(id, t, pj.PhaseFailed, "exit status 1")
+		return
+	}
+	t.result = "done by " + w.options.Name + ": " + t.action.Payload
+	w.end(id, t, pj.PhaseFinished, "")
+}
+
+// NextEvent returns when Tick may have something to do, or false.
+func (w *Worker) NextEvent() (at time.Duration, ok bool) {
+	for _, t := range w.tasks {
+		if t.phase.Ended() {
+			continue
+		}
+		due := w.leaseUntil
+		if t.end > 0 {
+			due = min(due, t.end)
+		}
+		if !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+// Running returns the attempts that run now.
+func (w *Worker) Running() []pj.AttemptID {
+	var ids []pj.AttemptID
+	for id, t := range w.tasks {
+		if !t.phase.Ended() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Reserved returns what the running tasks may use.
+func (w *Worker) Reserved() pj.Resources {
+	var sum pj.Resources
+	for _, t := range w.tasks {
+		if !t.phase.Ended() {
+			sum = sum.Add(t.action.Reservation)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/status.go
@@ -0,0 +1,85 @@
+package papayajunction
+
+// Status is the operators' view of the system from one VM.
+type Status struct {
+	VM             string            `json:"vm"`
+	Zone           string            `json:"zone"`
+	Version        uint64            `json:"configuration_version"`
+	VersionSeconds int64             `json:"configuration_confirmed_seconds_ago"`
+	KeysInForce    bool              `json:"keys_in_force"`
+	VMs            []VMStatus        `json:"vms"`
+	Groups         []GroupStatus     `json:"groups"`
+	Cells          []CellStatus      `json:"cells"`
+	Workspaces     []WorkspaceStatus `json:"workspaces"`
+}
+
+// VMStatus is one entry VM of the system.
+type VMStatus struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Replica bool   `json:"replica"`
+}
+
+// GroupStatus is one replicated group as a VM sees it.
+type GroupStatus struct {
+	Name    string   `json:"name"`
+	Term    uint64   `json:"term"`
+	Leader  string   `json:"leader"`
+	Applied uint64   `json:"applied"`
+	Members []string `json:"members"`
+}
+
+// CellStatus is one availability zone's workers, endpoints and waiting work.
+type CellStatus struct {
+	Zone      string           `json:"zone"`
+	Leader    string           `json:"leader,omitempty"`
+	Problem   string           `json:"problem,omitempty"`
+	Workers   []WorkerStatus   `json:"workers"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+	Queues    []QueueStatus    `json:"queues"`
+	Use       []CellUse        `json:"use"`
+}
+
+// CellUse is what a workspace has running in one cell against the cell's allotment.
+type CellUse struct {
+	Workspace string    `json:"workspace"`
+	Use       Resources `json:"use"`
+	Allotment Resources `json:"allotment"`
+	Waiting   int       `json:"waiting"`
+}
+
+// WorkerStatus is one worker.
+type WorkerStatus struct {
+	Name     string    `json:"name"`
+	Rack     string    `json:"rack"`
+	State    string    `json:"state"`
+	Capacity Resources `json:"capacity"`
+	Reserved Resources `json:"reserved"`
+	Tasks    int       `json:"tasks"`
+}
+
+// EndpointStatus is one endpoint.
+type EndpointStatus struct {
+	Name   string   `json:"name"`
+	State  string   `json:"state"`
+	Queues []string `json:"queues"`
+	Slots  int      `json:"slots"`
+	Used   int      `json:"used"`
+}
+
+// QueueStatus is the waiting work of one queue.
+type QueueStatus struct {
+	Name    string `json:"name"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// WorkspaceStatus is one workspace over the whole fleet.
+type WorkspaceStatus struct {
+	Name    string    `json:"name"`
+	Share   float64   `json:"share"`
+	Limit   Resources `json:"limit"`
+	Use     Resources `json:"use"`
+	Waiting int       `json:"waiting"`
+}
--- /dev/null
+++ b/worker.go
@@ -0,0 +1,76 @@
+package papayajunction
+
+// Phase is the state of a task on its worker.
+type Phase string
+
+// The phases that a worker reports.
+const (
+	PhaseRunning  Phase = "running"
+	PhaseFinished Phase = "finished" // ended by itself with success
+	PhaseFailed   Phase = "failed"   // ended by itself with an error
+	PhaseStopped  Phase = "stopped"  // ended by a stop or checkpoint action, or because its lease ran out
+)
+
+// Ended reports whether the task holds nothing on the worker any more.
+func (p Phase) Ended() bool {
+	return p != PhaseRunning
+}
+
+// TaskReport is what a worker says of one task that it holds.
+type TaskReport struct {
+	Attempt AttemptID `json:"attempt"`
+	Phase   Phase     `json:"phase"`
+	Usage   Resources `json:"usage,omitzero"`
+	Result  string    `json:"result,omitempty"`
+	Reason  string    `json:"reason,omitempty"`
+	RunMS   int64     `json:"run_ms,omitempty"`
+}
+
+// Report is what a worker sends regularly. Tasks lists every task that it holds.
+//
+// Incarnation changes when the worker starts anew; a new incarnation holds no earlier task.
+// Term is the highest term of the cell's leader that the worker has seen. Sequence grows with each
+// report of an incarnation, so that a report which was overtaken by a later one can be told.
+type Report struct {
+	Worker      string       `json:"worker"`
+	Zone        string       `json:"zone"`
+	Rack        string       `json:"rack"`
+	Incarnation string       `json:"incarnation"`
+	Sequence    uint64       `json:"sequence"`
+	Term        uint64       `json:"term"`
+	Capacity    Resources    `json:"capacity"`
+	Tasks       []TaskReport `json:"tasks,omitempty"`
+	Draining    bool         `json:"draining,omitempty"`
+}
+
+// Verb names what a worker is to do with a task.
+type Verb string
+
+// The verbs of actions.
+const (
+	VerbStart      Verb = "start"
+	VerbStop       Verb = "stop"
+	VerbThrottle   Verb = "throttle"
+	VerbCheckpoint Verb = "checkpoint" // save the task's progress, then stop it
+)
+
+// Action is one thing that a worker is to do.
+type Action struct {
+	Verb        Verb      `json:"verb"`
+	Attempt     AttemptID `json:"attempt"`
+	Queue       string    `json:"queue,omitempty"`
+	Kind        Kind      `json:"kind,omitempty"`
+	Workspace   string    `json:"workspace,omitempty"`
+	Reservation Resources `json:"reservation,omitzero"`
+	Payload     string    `json:"payload,omitempty"`
+	RunTime     Duration  `json:"run_time,omitempty"`
+}
+
+// Directive answers a report. The worker may run its tasks for LeaseMS milliseconds, counted
+// from when it sent the report; it forgets the tasks in Acknowledged.
+type Directive struct {
+	Term         uint64      `json:"term"`
+	LeaseMS      int64       `json:"lease_ms"`
+	Actions      []Action    `json:"actions,omitempty"`
+	Acknowledged []AttemptID `json:"acknowledged,omitempty"`
+}
