Drain: workers and endpoints are sent to another VM

Cause: reports are held for a second each, so a stopping VM never had nothing in flight and used its whole 30 s. Change: a VM that refuses new work refuses reports and announcements too; clients pass over it.

--- a/internal/client/command/callers.go
+++ b/internal/client/command/callers.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -32,8 +33,10 @@
 
 func (a *App) request() *ffcli.Command {
 	var body, file string
-	return a.command("request", "QUEUE", "Send a quick request and show the answer",
-		`papaya request --key KEY --body '{"valve": "v5-2", "count": 12}' price-quote`,
+	many := burst{app: a}
+	return a.command("request", "QUEUE", "Send a quick request and show the answer, or send many and count the outcomes",
+		`papaya request --key KEY --body '{"valve": "v5-2", "count": 12}' price-quote`+
+			"\npapaya request --key KEY --count 1000 --parallel 20 price-quote",
 		func(ctx context.Context, args []string) error {
 			queue, err := one(args, "queue")
 			if err != nil {
@@ -45,6 +48,12 @@
 					return fmt.Errorf("read body: %w", err)
 				}
 			}
+			if many.count > 1 {
+				many.one = func(ctx context.Context, client *entry.Client, n int) error {
+					return requestOnce(ctx, client, queue, string(data), n)
+				}
+				return many.run(ctx)
+			}
 			client, closeClient := a.client()
 			defer closeClient()
 			reply, err := client.Request(ctx, queue, data)
@@ -60,6 +69,7 @@
 		func(fs *flag.FlagSet) {
 			fs.StringVar(&body, "body", "", "what to send")
 			fs.StringVar(&file, "file", "", "file with what to send")
+			many.flags(fs)
 		})
 }
 
@@ -70,6 +80,7 @@
 	var accelerators int64
 	var runTime time.Duration
 	var wait bool
+	many := burst{app: a}
 	return a.command("submit", "QUEUE", "Submit a job; sent again with the same --id it is the same job",
 		"papaya submit --key KEY --zone thies-atelier --payload manifold-7 --wait manifold-simulation",
 		func(ctx context.Context, args []string) error {
@@ -77,6 +88,17 @@
 			if err != nil {
 				return err
 			}
+			submission := pj.Submission{
+				Queue: queue, Tasks: tasks, Task: pj.NewResources(cores, memory, accelerators, 0),
+				RunTime: pj.Duration(runTime), Payload: payload,
+			}
+			if many.count > 1 {
+				zones := strings.Split(zone, ",")
+				many.one = func(ctx context.Context, client *entry.Client, n int) error {
+					return jobOnce(ctx, client, NewJobID(zones[n%len(zones)]), submission)
+				}
+				return many.run(ctx)
+			}
 			client, closeClient := a.client()
 			defer closeClient()
 			if id == "" {
@@ -84,10 +106,7 @@
 					return err
 				}
 			}
-			st, err := client.Submit(ctx, id, pj.Submission{
-				Queue: queue, Tasks: tasks, Task: pj.NewResources(cores, memory, accelerators, 0),
-				RunTime: pj.Duration(runTime), Payload: payload,
-			})
+			st, err := client.Submit(ctx, id, submission)
 			if err != nil {
 				return fmt.Errorf("job %s: %w", id, err)
 			}
@@ -98,7 +117,7 @@
 		},
 		func(fs *flag.FlagSet) {
 			fs.StringVar(&id, "id", "", "job id, as ZONE.RANDOM; by default a new one")
-			fs.StringVar(&zone, "zone", "", "home zone of the job; by default that of the entry VM")
+			fs.StringVar(&zone, "zone", "", "home zone of the job; by default that of the entry VM; with --count, several with commas")
 			fs.StringVar(&payload, "payload", "", "what the tasks get")
 			fs.IntVar(&tasks, "tasks", 0, "number of tasks; by default as the queue says")
 			fs.Float64Var(&cores, "cores", 0, "cores of a task; with --memory_gb, instead of what the queue says")
@@ -106,6 +125,7 @@
 			fs.Int64Var(&accelerators, "accelerators", 0, "accelerators of a task")
 			fs.DurationVar(&runTime, "run_time", 0, "expected run time")
 			fs.BoolVar(&wait, "wait", false, "wait until the job has ended")
+			many.flags(fs)
 		})
 }
 
--- a/internal/client/command/demo.go
+++ b/internal/client/command/demo.go
@@ -74,7 +74,9 @@
 	go func() { ran <- d.Run() }()
 	defer func() {
 		_ = d.Stop()
-		<-ran
+		if err := <-ran; err != nil {
+			a.printError(err)
+		}
 		cleanup()
 	}()
 	stands, stopStands, err := fleet.New(fleet.Options{
--- a/internal/config/operator/operator.go
+++ b/internal/config/operator/operator.go
@@ -4,17 +4,15 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io/fs"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 
-	"crypto/sha256"
-
 	pj "papayajunction"
 )
 
@@ -29,22 +27,19 @@
 // Collect returns the operator files below folder in order of path.
 func Collect(folder string) ([]pj.File, error) {
 	var files []pj.File
-	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+	tree := os.DirFS(folder)
+	err := fs.WalkDir(tree, ".", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
 		if entry.IsDir() || !isOperatorFile(entry.Name()) {
 			return nil
 		}
-		content, err := os.ReadFile(filepath.Clean(path))
-		if err != nil {
-			return err
-		}
-		relative, err := filepath.Rel(folder, path)
+		content, err := fs.ReadFile(tree, path)
 		if err != nil {
 			return err
 		}
-		files = append(files, pj.File{Path: filepath.ToSlash(relative), Content: string(content)})
+		files = append(files, pj.File{Path: path, Content: string(content)})
 		return nil
 	})
 	if err != nil {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -108,25 +108,38 @@
 	if len(s.VMs) == 0 {
 		s.VMs = []topology.VM{{Name: s.VM, Zone: s.Zone, Address: s.Listen, Replica: true}}
 	}
+	faults = append(faults, s.checkSelf()...)
+	faults = append(faults, checkVMs(s.VMs)...)
+	faults = append(faults, s.checkTLS()...)
+	if s.MaxBodyBytes < 1 || s.MaxInFlight < 1 || s.DrainTimeout < 0 || s.MemoryLimit < 0 {
+		fault("max_body_bytes and max_in_flight must be at least 1, drain_timeout and memory_limit_bytes at least 0")
+	}
+	return errors.Join(faults...)
+}
+
+// checkSelf compares this VM with its entry in the list of VMs.
+func (s *Settings) checkSelf() []error {
 	at := slices.IndexFunc(s.VMs, func(vm topology.VM) bool { return vm.Name == s.VM })
 	switch {
 	case at < 0:
-		fault("vms: this VM %q is not in the list", s.VM)
+		return []error{fmt.Errorf("vms: this VM %q is not in the list", s.VM)}
 	case s.VMs[at].Zone != s.Zone:
-		fault("zone: is %q and the list of VMs says %q", s.Zone, s.VMs[at].Zone)
+		return []error{fmt.Errorf("zone: is %q and the list of VMs says %q", s.Zone, s.VMs[at].Zone)}
 	case s.VMs[at].Replica && s.DataDir == "" && len(s.VMs) > 1:
-		fault("data_dir: must be set on a VM that is a replica")
+		return []error{errors.New("data_dir: must be set on a VM that is a replica")}
 	}
-	faults = append(faults, checkVMs(s.VMs)...)
-	if set := countSet(s.TLSCert, s.TLSKey, s.TLSCA); set != 0 && set != 3 {
-		fault("tls_cert, tls_key and tls_ca must be set together")
-	} else if set == 0 && !allLoopback(s.VMs) {
-		fault("tls_cert, tls_key and tls_ca must be set unless all VMs are on loopback addresses")
+	return nil
+}
+
+func (s *Settings) checkTLS() []error {
+	set := countSet(s.TLSCert, s.TLSKey, s.TLSCA)
+	if set != 0 && set != 3 {
+		return []error{errors.New("tls_cert, tls_key and tls_ca must be set together")}
 	}
-	if s.MaxBodyBytes < 1 || s.MaxInFlight < 1 || s.DrainTimeout < 0 || s.MemoryLimit < 0 {
-		fault("max_body_bytes and max_in_flight must be at least 1, drain_timeout and memory_limit_bytes at least 0")
+	if set == 0 && !allLoopback(s.VMs) {
+		return []error{errors.New("tls_cert, tls_key and tls_ca must be set unless all VMs are on loopback addresses")}
 	}
-	return errors.Join(faults...)
+	return nil
 }
 
 func checkVMs(vms []topology.VM) []error {
--- a/internal/control/accountant/workers.go
+++ b/internal/control/accountant/workers.go
@@ -243,6 +243,7 @@
 		a.estimates.Observe(v.record.Job.Queue, v.peak, time.Duration(t.RunMS)*time.Millisecond)
 	case pj.PhaseFailed:
 		a.judge(now, v, &end)
+	case pj.PhaseStopped, pj.PhaseRunning:
 	}
 	a.endAttempt(v, end, false)
 }
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -209,11 +209,11 @@
 	if c.passive || m.To != c.options.ID {
 		return
 	}
-	switch m.Kind {
-	case pj.MessagePreVote, pj.MessageVote:
+	if m.Kind == pj.MessagePreVote || m.Kind == pj.MessageVote {
 		c.handleVote(now, m)
 		return
-	case pj.MessagePreVoteReply:
+	}
+	if m.Kind == pj.MessagePreVoteReply {
 		c.handlePreVoteReply(now, m)
 		return
 	}
@@ -235,6 +235,7 @@
 		c.handleSnapshot(now, m)
 	case pj.MessageElectNow:
 		c.handleElectNow(now)
+	default:
 	}
 }
 
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -56,14 +56,11 @@
 	if m.Term > c.term && !preVote {
 		c.becomeFollower(now, m.Term, "")
 	}
-	upToDate := m.LogTerm > c.log.lastTerm() ||
-		(m.LogTerm == c.log.lastTerm() && m.Index >= c.log.lastIndex())
-	grant := upToDate && m.Term >= c.term
+	grant := c.isUpToDate(m)
 	if preVote {
 		grant = grant && m.Term > c.term
 	} else {
-		grant = grant && m.Term == c.term && (c.vote == "" || c.vote == m.From) &&
-			(c.role == follower || c.role == preCandidate)
+		grant = grant && c.mayVoteFor(m)
 	}
 	if grant && !preVote {
 		c.vote = m.From
@@ -79,6 +76,20 @@
 	c.send(reply)
 }
 
+// isUpToDate reports whether the sender's log has everything that may be committed.
+func (c *Core) isUpToDate(m pj.PeerMessage) bool {
+	if m.LogTerm != c.log.lastTerm() {
+		return m.LogTerm > c.log.lastTerm()
+	}
+	return m.Index >= c.log.lastIndex()
+}
+
+// mayVoteFor reports whether this member has no other vote in the current term.
+func (c *Core) mayVoteFor(m pj.PeerMessage) bool {
+	free := c.vote == "" || c.vote == m.From
+	return m.Term == c.term && free && (c.role == follower || c.role == preCandidate)
+}
+
 func (c *Core) handlePreVoteReply(now time.Duration, m pj.PeerMessage) {
 	if m.Reject {
 		if m.Term > c.term {
--- a/internal/control/quorum/ready.go
+++ b/internal/control/quorum/ready.go
@@ -63,10 +63,7 @@
 // no reason to write by itself.
 func (c *Core) collectWrite() *pj.LogWrite {
 	w := pj.LogWrite{Group: c.options.Group}
-	changed := false
-	if c.term != c.savedState.Term || c.vote != c.savedState.Vote {
-		changed = true
-	}
+	changed := c.term != c.savedState.Term || c.vote != c.savedState.Vote
 	if last := c.log.lastIndex(); c.log.unstable <= last {
 		w.Entries = slices.Clone(c.log.entries[c.log.unstable-c.log.first:])
 		changed = true
--- a/internal/control/slots/slots.go
+++ b/internal/control/slots/slots.go
@@ -187,7 +187,7 @@
 	if e.announced.Leaving || now > e.until {
 		return false
 	}
-	if _, any := e.serves[AnyQueue]; any {
+	if _, all := e.serves[AnyQueue]; all {
 		return true
 	}
 	_, ok := e.serves[queue]
--- a/internal/server/api/api.go
+++ b/internal/server/api/api.go
@@ -156,6 +156,10 @@
 			writeError(w, pj.Refuse(pj.CodeForbidden, "workers and endpoints need a certificate of the system's authority"))
 			return
 		}
+		if a.closed.Load() {
+			writeError(w, pj.Refuse(pj.CodeDraining, "this VM is stopping; go to another"))
+			return
+		}
 		next(w, r)
 	}
 }
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -62,13 +62,18 @@
 	hold := time.Duration(r.WaitMS) * time.Millisecond
 	err = n.callLeader(ctx, topology.CellGroup(zone), opGrant, hold, zonedGrant{Zone: zone, Request: r}, &g)
 	if err != nil && pj.AsError(err).Code == pj.CodeOutcomeUnknown {
-		go n.abandon(zone, r)
+		n.abandonSoon(zone, r)
 		// A grant that never reached this VM was never used.
 		err = pj.Refuse(pj.CodeNoQuorum, "no slot was granted in time: %v", err)
 	}
 	return g, err
 }
 
+// abandonSoon outlives the caller's request, which has ended.
+func (n *Node) abandonSoon(zone string, r pj.GrantRequest) {
+	go n.abandon(zone, r)
+}
+
 func (n *Node) abandon(zone string, r pj.GrantRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -80,8 +80,9 @@
 	case pj.CodeNoEndpoint:
 		// The endpoint chosen could not be reached or said that it did not run the request.
 		return e.NotRun && x.Endpoint != "" && f.budget.spend(x.Queue.Name)
+	default:
+		return false
 	}
-	return false
 }
 
 // final makes sure that an error says "not run" only if no try may have run.
