Drain: end the streams of the other VMs before the server closes

Cause: the framework's server waited 35 s for the endless streams between VMs, then failed (exit 1, seen in the log: 'serve: context deadline exceeded'). Ruled out: requests in flight (the log says in_flight=0). Change: the drain sets a read deadline on the streams after leadership was handed over.

--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -38,6 +38,8 @@
 	node     *node.Node
 	api      *api.API
 	app      *kratos.App
+
+	closeStreams func()
 }
 
 // NewLogger returns a logger that writes one key=value line for each event, or nothing if the
@@ -80,7 +82,8 @@
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
 	server.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
-	path, handler := peer.NewHandler(s.VM, n, tlsConfig != nil)
+	path, handler, closeStreams := peer.NewHandler(s.VM, n, tlsConfig != nil)
+	d.closeStreams = closeStreams
 	server.HandlePrefix(path, handler)
 	server.HandlePrefix("/", a.Handler())
 	d.app = kratos.New(
@@ -131,6 +134,7 @@
 	for ctx.Err() == nil && d.api.Active() > 0 {
 		wait(ctx, activePoll)
 	}
+	d.closeStreams()
 	_ = d.logger.Log("event", "drained", "in_flight", d.api.Active())
 	return nil
 }
--- a/internal/server/peer/service.go
+++ b/internal/server/peer/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -23,14 +24,22 @@
 }
 
 // NewHandler returns the path and the handler of the service between VMs. With identified, only
-// callers with a certificate of the VMs' authority are heard.
-func NewHandler(self string, receiver Receiver, identified bool) (string, http.Handler) {
-	path, handler := peerpbconnect.NewPeerServiceHandler(
+// callers with a certificate of the VMs' authority are heard. The returned function ends the streams
+// of the other VMs, so that the server can close.
+func NewHandler(self string, receiver Receiver, identified bool) (string, http.Handler, func()) {
+	path, service := peerpbconnect.NewPeerServiceHandler(
 		&service{self: self, receiver: receiver},
 		connect.WithReadMaxBytes(maxMessageBytes),
 	)
+	stopped, stop := context.WithCancel(context.Background())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		release := context.AfterFunc(stopped, func() { _ = control.SetReadDeadline(time.Now()) })
+		defer release()
+		service.ServeHTTP(w, r)
+	})
 	if !identified {
-		return path, handler
+		return path, handler, stop
 	}
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
@@ -38,7 +47,7 @@
 			return
 		}
 		handler.ServeHTTP(w, r)
-	})
+	}), stop
 }
 
 type service struct {
