--- a/endpoint.go
+++ b/endpoint.go
@@ -1,5 +1,7 @@
 package papayajunction
 
+import "time"
+
 // Announcement is how an endpoint makes itself known; it is renewed before TTLMS runs out.
 type Announcement struct {
 	Endpoint string   `json:"endpoint"`
@@ -30,14 +32,16 @@
 
 // Grant is the right to send one request to one endpoint.
 //
-// It holds for ValidMS milliseconds, counted from when the entry asked for it; Granted is how much
-// of that time was spent waiting in the queue, in milliseconds.
+// WaitedMS is how long the request waited at the leader, in milliseconds. Counted from when the entry
+// asked, the grant holds for WaitedMS and ValidMS together; Until is that time by the entry's clock.
 type Grant struct {
 	ID       string `json:"id"`
 	Endpoint string `json:"endpoint"`
 	Address  string `json:"address"`
 	ValidMS  int64  `json:"valid_ms"`
 	WaitedMS int64  `json:"waited_ms"`
+
+	Until time.Duration `json:"-"`
 }
 
 // GrantRelease gives a slot back.
--- a/internal/client/command/burst.go
+++ b/internal/client/command/burst.go
@@ -164,13 +164,46 @@
 	return nil
 }
 
+// burstPatience is how long a job of a burst is sent and asked for again.
+const burstPatience = 40 * time.Second
+
+// insist repeats a step that may be repeated, as callers are expected to, while the outcome is
+// unknown or there is no leader.
+func insist(ctx context.Context, step func() error) error {
+	for {
+		err := step()
+		if err == nil {
+			return nil
+		}
+		code := pj.AsError(err).Code
+		if code != pj.CodeOutcomeUnknown && code != pj.CodeNoQuorum && code != pj.CodeInternal {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(time.Second):
+		}
+	}
+}
+
 // jobOnce submits a job and waits until it has ended.
 func jobOnce(ctx context.Context, client *entry.Client, id string, s pj.Submission) error {
-	if _, err := client.Submit(ctx, id, s); err != nil {
+	patient, cancel := context.WithTimeout(ctx, burstPatience)
+	defer cancel()
+	err := insist(patient, func() error {
+		_, err := client.Submit(ctx, id, s)
+		return err
+	})
+	if err != nil {
 		return fmt.Errorf("job %s: %w", id, err)
 	}
 	for {
-		st, err := client.Job(ctx, id, pollWait)
+		var st pj.JobStatus
+		err := insist(patient, func() (err error) {
+			st, err = client.Job(ctx, id, pollWait)
+			return err
+		})
 		if err != nil {
 			return fmt.Errorf("job %s: %w", id, err)
 		}
--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -77,6 +77,7 @@
 	version  uint64                  // configuration that the ledger was set from
 	ended    []string                // ended jobs, oldest first
 	forgotAt time.Duration
+	since    time.Duration // when this VM was elected
 	closed   bool
 }
 
@@ -87,6 +88,7 @@
 	ledger := fairness.New()
 	a := &Accountant{
 		options:   options,
+		since:     now,
 		ledger:    ledger,
 		estimates: estimate.New(),
 		blame:     blame.New(),
--- a/internal/control/accountant/jobs.go
+++ b/internal/control/accountant/jobs.go
@@ -44,7 +44,8 @@
 
 // refuse returns why a new job can't be taken, or nil.
 func (a *Accountant) refuse(job pj.Job) *pj.Error {
-	if !a.scheduler.CanEverRun(&job) {
+	// Until every worker has had time to report, too little is known to say so.
+	if a.options.Clock.Now() > a.since+taskLeaseEnd && !a.scheduler.CanEverRun(&job) {
 		return pj.Refuse(pj.CodeNeverRuns,
 			"%d task(s) of %v each would not fit on the workers of zone %s even if all were empty",
 			job.Tasks, job.Task, a.options.Zone)
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -47,8 +47,10 @@
 
 // broadcast sends what each member lacks; with heartbeat also to those that lack nothing.
 func (c *Core) broadcast(now time.Duration, heartbeat bool) {
-	for id, p := range c.peers {
-		c.sendAppend(now, id, p, heartbeat)
+	for _, id := range slices.Concat(c.membership.Voters, c.membership.Learners) {
+		if p := c.peers[id]; p != nil {
+			c.sendAppend(now, id, p, heartbeat)
+		}
 	}
 }
 
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -209,8 +209,9 @@
 // are no workers at all.
 func (s *Scheduler) fitsSomewhere(amount pj.Resources) (known, can bool) {
 	s.index.Each(func(name, _ string, _ bool) bool {
-		known = true
-		can = amount.Fits(s.index.Capacity(name))
+		capacity := s.index.Capacity(name)
+		known = known || !capacity.IsZero()
+		can = amount.Fits(capacity)
 		return !can
 	})
 	return known, can || !known
@@ -225,7 +226,7 @@
 	}
 	room, known := 0, false
 	s.index.Each(func(name, _ string, _ bool) bool {
-		known = true
+		known = known || !s.index.Capacity(name).IsZero()
 		room += times(s.index.Capacity(name), job.Task)
 		return room < job.Tasks
 	})
--- a/internal/server/api/api.go
+++ b/internal/server/api/api.go
@@ -54,7 +54,7 @@
 	a := &API{settings: s, node: n, metrics: set, logger: logger, limiter: filter.NewLimiter(s.MaxInFlight)}
 	a.stopped, a.stop = context.WithCancel(context.Background())
 	zones := append([]string{s.Zone}, n.Topology().Others(s.Zone)...)
-	dispatcher, closeDispatcher := dispatch.New(n, s.VM, zones, s.MaxBodyBytes)
+	dispatcher, closeDispatcher := dispatch.New(n, n.Clock(), s.VM, zones, s.MaxBodyBytes)
 	a.chain = filter.Chain(dispatcher,
 		filter.Log(logger),
 		filter.Metrics(set),
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -60,7 +60,8 @@
 // Grant asks a zone's leader for a slot. When ctx ends first, the request is abandoned.
 func (n *Node) Grant(ctx context.Context, zone string, r pj.GrantRequest) (g pj.Grant, err error) {
 	hold := time.Duration(r.WaitMS) * time.Millisecond
-	err = n.callLeader(ctx, topology.CellGroup(zone), opGrant, hold, zonedGrant{Zone: zone, Request: r}, &g)
+	sent, err := n.callLeaderAt(ctx, topology.CellGroup(zone), opGrant, hold, zonedGrant{Zone: zone, Request: r}, &g)
+	g.Until = sent + time.Duration(g.WaitedMS+g.ValidMS)*time.Millisecond
 	if err != nil && pj.AsError(err).Code == pj.CodeOutcomeUnknown {
 		n.abandonSoon(zone, r)
 		// A grant that never reached this VM was never used.
--- a/internal/server/node/router.go
+++ b/internal/server/node/router.go
@@ -56,6 +56,12 @@
 // callLeader runs an operation on the leader of a group and looks for it as long as ctx allows.
 // Every operation is idempotent, so it may be sent again when an answer was lost.
 func (n *Node) callLeader(ctx context.Context, group, operation string, hold time.Duration, argument, result any) error {
+	_, err := n.callLeaderAt(ctx, group, operation, hold, argument, result)
+	return err
+}
+
+// callLeaderAt is like callLeader and returns when the call that was answered had been sent.
+func (n *Node) callLeaderAt(ctx context.Context, group, operation string, hold time.Duration, argument, result any) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+hold)
 	defer cancel()
 	search := leaderSearch{members: n.candidates(group), next: n.leaders.get(group)}
@@ -64,15 +70,16 @@
 	for ctx.Err() == nil {
 		vm, wrapped := search.pick()
 		if vm == "" {
-			return pj.Refuse(pj.CodeNoQuorum, "no VM is a replica of %s", group)
+			return 0, pj.Refuse(pj.CodeNoQuorum, "no VM is a replica of %s", group)
 		}
 		if wrapped && !pause(ctx, tryAgain) {
 			break
 		}
+		sent := n.clock.Now()
 		err := n.callVM(ctx, vm, operation, hold, argument, result)
 		if err == nil {
 			n.leaders.set(group, vm)
-			return nil
+			return sent, nil
 		}
 		var e *pj.Error
 		if !errors.As(err, &e) {
@@ -81,12 +88,12 @@
 			continue
 		}
 		if e.Code != pj.CodeNotLeader && e.Code != pj.CodeNoQuorum {
-			return err
+			return 0, err
 		}
 		last = err
 		search.hint(e.Leader, vm)
 	}
-	return noLeader(group, uncertain, last)
+	return 0, noLeader(group, uncertain, last)
 }
 
 func noLeader(group string, uncertain bool, last error) error {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -47,10 +47,12 @@
 	maxAnswer int64
 	transport http.RoundTripper
 	now       func() time.Time
+	clock     pj.Clock
 }
 
-// New returns a dispatcher for a VM and a function that closes its connections.
-func New(granter Granter, entry string, zones []string, maxAnswer int64) (*Dispatcher, func()) {
+// New returns a dispatcher for a VM and a function that closes its connections. The clock is the one
+// that grants are stamped with.
+func New(granter Granter, clock pj.Clock, entry string, zones []string, maxAnswer int64) (*Dispatcher, func()) {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     connectionsPerEndpoint,
@@ -61,13 +63,12 @@
 		ReadBufferSize:      2 << 10,
 		WriteBufferSize:     2 << 10,
 	}
-	d := &Dispatcher{granter: granter, zones: zones, entry: entry, maxAnswer: maxAnswer, transport: transport, now: time.Now}
+	d := &Dispatcher{granter: granter, zones: zones, entry: entry, maxAnswer: maxAnswer, transport: transport, now: time.Now, clock: clock}
 	return d, transport.CloseIdleConnections
 }
 
 // Serve is part of pj.Handler.
 func (d *Dispatcher) Serve(ctx context.Context, x *pj.Exchange) error {
-	asked := d.now()
 	zone, g, err := d.grant(ctx, x)
 	if err != nil {
 		return err
@@ -75,7 +76,7 @@
 	x.Waited += time.Duration(g.WaitedMS) * time.Millisecond
 	// The leader counts the slot as free again when the grant has lapsed, for example because this
 	// process was paused.
-	if d.now().Sub(asked) > time.Duration(g.WaitedMS+g.ValidMS)*time.Millisecond {
+	if d.clock.Now() > g.Until {
 		d.granter.Release(zone, pj.GrantRelease{ID: g.ID})
 		x.Endpoint = g.Endpoint
 		return pj.Refuse(pj.CodeNoEndpoint, "the grant for endpoint %s had lapsed", g.Endpoint)
