--- a/internal/client/command/standin.go
+++ b/internal/client/command/standin.go
@@ -66,8 +66,3 @@
 			fs.DurationVar(&span, "for", 0, "stop after this time; 0 means on SIGTERM or SIGINT")
 		})
 }
-
-func (a *App) replay() *ffcli.Command {
-	return a.command("replay", "FILE...", "Run recorded traces through the decisions on a virtual clock", "papaya replay testdata/traces/diallo_peak.jsonl",
-		func(context.Context, []string) error { return errUsage })
-}
--- /dev/null
+++ b/internal/replay/engine/engine.go
@@ -0,0 +1,422 @@
+// Package engine runs a trace through a scheduler's decisions on a virtual clock.
+package engine
+
+import (
+	"container/heap"
+	"runtime"
+	"time"
+
+	pj "papayajunction"
+	"papayajunction/internal/replay/trace"
+)
+
+// Times of what the trace doesn't say.
+const (
+	tick           = 100 * time.Millisecond
+	startDelay     = 10 * time.Millisecond // from the decision to the start on the worker
+	stopDelay      = 150 * time.Millisecond
+	failDelay      = time.Second // after which a failing worker's task ends
+	decideMost     = 256
+	sampleInterval = time.Second
+)
+
+// Policy is a scheduler with what it learns from the ends of tasks.
+type Policy interface {
+	pj.Scheduler
+	Finished(now time.Duration, job *pj.Job, worker string, peak pj.Resources, run time.Duration)
+	Failed(now time.Duration, job *pj.Job, worker string) (jobFails bool)
+	Tick(now time.Duration)
+}
+
+// Wait is how long one task waited for its first start.
+type Wait struct {
+	Workspace string
+	Urgency   pj.Urgency
+	Kind      pj.Kind
+	Waited    time.Duration
+}
+
+// Sample is the state of the fleet at one moment.
+type Sample struct {
+	At       time.Duration
+	Capacity pj.Resources
+	Reserved pj.Resources
+	Waiting  bool                    // some task waits
+	Use      map[string]pj.Resources // by workspace
+	Backlog  map[string]bool         // workspaces with waiting tasks
+}
+
+// Result is everything that a run yields.
+type Result struct {
+	Waits         []Wait
+	Samples       []Sample
+	Shares        map[string]float64 // weight by workspace
+	Starts        int
+	Preempts      int
+	Finished      int
+	Failed        int // tasks that ended by a failure
+	JobsFailed    int // jobs given up although nothing was wrong with them
+	Unfinished    int // tasks that neither finished nor were cancelled in the end
+	Overcommitted int // samples with a worker above its capacity
+	Doubled       int // starts of a task that was running
+	CPU           time.Duration
+	Bytes         uint64
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+// Len is part of heap.Interface.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+// Swap is part of heap.Interface.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is part of heap.Interface.
+func (h *eventHeap) Push(x any) {
+	e, _ := x.(event)
+	*h = append(*h, e)
+}
+
+// Pop is part of heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+type taskKey struct {
+	job  string
+	task int
+}
+
+// attempt is a running task.
+type attempt struct {
+	number      int
+	worker      string
+	reservation pj.Resources
+	started     time.Duration
+	ends        bool // an end is under way
+}
+
+// job is a job of the trace and how far it got.
+type job struct {
+	source    trace.Event
+	job       *pj.Job
+	remaining []time.Duration // run time left of each task
+	done      []bool
+	started   []bool
+	cancelled bool
+	waiting   int
+}
+
+type engine struct {
+	policy   Policy
+	now      time.Duration
+	events   eventHeap
+	order    int
+	jobs     map[string]*job
+	running  map[taskKey]*attempt
+	numbers  int
+	failing  map[string]bool
+	workers  map[string]pj.Resources
+	capacity pj.Resources
+	reserved map[string]pj.Resources // by worker
+	use      map[string]pj.Resources // by workspace
+	backlog  map[string]int          // waiting tasks by workspace
+	result   Result
+}
+
+// Run runs a trace to its end and for as long afterwards as given.
+func Run(policy Policy, events []trace.Event, after time.Duration) Result {
+	e := &engine{
+		policy: policy, jobs: make(map[string]*job), running: make(map[taskKey]*attempt),
+		failing: make(map[string]bool), workers: make(map[string]pj.Resources), reserved: make(map[string]pj.Resources),
+		use: make(map[string]pj.Resources), backlog: make(map[string]int),
+		result: Result{Shares: make(map[string]float64)},
+	}
+	end := after
+	for _, te := range events {
+		at := time.Duration(te.At) * time.Millisecond
+		e.at(at, func() { e.apply(te) })
+		end = max(end, at+after)
+	}
+	for at := time.Duration(0); at <= end; at += tick {
+		e.at(at, func() { e.policy.Tick(e.now) })
+	}
+	for at := sampleInterval; at <= end; at += sampleInterval {
+		e.at(at, e.sample)
+	}
+	e.loop(end)
+	e.finish()
+	return e.result
+}
+
+func (e *engine) at(at time.Duration, run func()) {
+	e.order++
+	heap.Push(&e.events, event{at: at, order: e.order, run: run})
+}
+
+func (e *engine) loop(end time.Duration) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for len(e.events) > 0 && e.events[0].at <= end {
+		e.now = e.events[0].at
+		for len(e.events) > 0 && e.events[0].at == e.now {
+			next, _ := heap.Pop(&e.events).(event)
+			next.run()
+		}
+		e.decide()
+	}
+	runtime.ReadMemStats(&after)
+	e.result.Bytes = after.TotalAlloc - before.TotalAlloc
+}
+
+// timed counts the processor time of a decision.
+func (e *engine) timed(run func()) {
+	started := time.Now()
+	run()
+	e.result.CPU += time.Since(started)
+}
+
+func (e *engine) apply(te trace.Event) {
+	switch te.Kind {
+	case trace.KindWorkspace:
+		e.result.Shares[te.Workspace] = te.Share
+		e.policy.SetWorkspace(te.Workspace, te.Share, te.Limit)
+	case trace.KindWorker:
+		e.workers[te.Worker] = te.Capacity
+		e.capacity = e.capacity.Add(te.Capacity)
+		e.policy.SetWorker(pj.Worker{Name: te.Worker, Rack: te.Rack, Capacity: te.Capacity})
+	case trace.KindWorkerLost:
+		e.loseWorker(te.Worker)
+	case trace.KindFailing:
+		e.failing[te.Worker] = true
+	case trace.KindSubmit:
+		e.submit(te)
+	case trace.KindCancel:
+		e.cancel(te.Job)
+	case trace.KindEndpoint, trace.KindRequests:
+	}
+}
+
+func (e *engine) submit(te trace.Event) {
+	j := &job{source: te, job: te.ToJob()}
+	j.remaining = make([]time.Duration, j.job.Tasks)
+	j.done = make([]bool, j.job.Tasks)
+	j.started = make([]bool, j.job.Tasks)
+	pending := make([]int, j.job.Tasks)
+	for i := range pending {
+		pending[i] = i
+		j.remaining[i] = time.Duration(te.RunMS) * time.Millisecond
+	}
+	e.jobs[te.Job] = j
+	e.wait(j, pending, e.now)
+}
+
+func (e *engine) wait(j *job, tasks []int, since time.Duration) {
+	if len(tasks) == 0 || j.cancelled {
+		return
+	}
+	j.waiting += len(tasks)
+	e.backlog[j.job.Workspace] += len(tasks)
+	e.timed(func() { e.policy.Submit(e.now, pj.Work{Job: j.job, Pending: tasks, Since: since}) })
+}
+
+func (e *engine) cancel(id string) {
+	j := e.jobs[id]
+	if j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	e.backlog[j.job.Workspace] -= j.waiting
+	j.waiting = 0
+	e.timed(func() { e.policy.Cancel(id) })
+	for i := range j.done {
+		e.stop(taskKey{job: id, task: i}, stopDelay)
+	}
+}
+
+// stop ends a running task after some time; it doesn't count as finished.
+func (e *engine) stop(key taskKey, delay time.Duration) {
+	a := e.running[key]
+	if a == nil || a.ends {
+		return
+	}
+	a.ends = true
+	e.at(e.now+delay, func() { e.stopped(key, a) })
+}
+
+// stopped keeps what the task had done, as a checkpoint does.
+func (e *engine) stopped(key taskKey, a *attempt) {
+	if e.running[key] != a {
+		return
+	}
+	j := e.jobs[key.job]
+	j.remaining[key.task] -= min(e.now-a.started, j.remaining[key.task])
+	e.release(key, a)
+	e.again(j, key.task)
+}
+
+// again lets a task wait once more; a gang only as a whole.
+func (e *engine) again(j *job, task int) {
+	if j.job.Kind != pj.KindGang {
+		e.wait(j, []int{task}, e.now)
+		return
+	}
+	var pending []int
+	for i := range j.done {
+		if e.running[taskKey{job: j.job.ID, task: i}] != nil {
+			e.stop(taskKey{job: j.job.ID, task: i}, stopDelay)
+			return
+		}
+		if !j.done[i] {
+			pending = append(pending, i)
+		}
+	}
+	if j.waiting == 0 {
+		e.wait(j, pending, e.now)
+	}
+}
+
+func (e *engine) release(key taskKey, a *attempt) {
+	delete(e.running, key)
+	workspace := e.jobs[key.job].job.Workspace
+	e.reserved[a.worker] = e.reserved[a.worker].Sub(a.reservation)
+	e.use[workspace] = e.use[workspace].Sub(a.reservation)
+	e.timed(func() { e.policy.Ended(e.now, key.job, key.task) })
+}
+
+func (e *engine) loseWorker(worker string) {
+	for key, a := range e.running {
+		if a.worker == worker {
+			e.stopped(key, a)
+		}
+	}
+	e.capacity = e.capacity.Sub(e.workers[worker])
+	delete(e.workers, worker)
+	e.policy.RemoveWorker(worker)
+}
+
+func (e *engine) decide() {
+	for {
+		var plan pj.Plan
+		e.timed(func() { plan = e.policy.Next(e.now, decideMost) })
+		for _, p := range plan.Preempts {
+			e.result.Preempts++
+			e.stop(taskKey{job: p.Job, task: p.Task}, stopDelay)
+		}
+		for _, st := range plan.Starts {
+			e.start(st)
+		}
+		if len(plan.Starts) < decideMost {
+			return
+		}
+	}
+}
+
+func (e *engine) start(st pj.Start) {
+	j := e.jobs[st.Job]
+	key := taskKey{job: st.Job, task: st.Task}
+	if e.running[key] != nil || j.done[st.Task] {
+		e.result.Doubled++
+		return
+	}
+	e.result.Starts++
+	e.numbers++
+	a := &attempt{number: e.numbers, worker: st.Worker, reservation: st.Reservation, started: e.now + startDelay}
+	e.running[key] = a
+	e.reserved[st.Worker] = e.reserved[st.Worker].Add(st.Reservation)
+	e.use[j.job.Workspace] = e.use[j.job.Workspace].Add(st.Reservation)
+	j.waiting--
+	e.backlog[j.job.Workspace]--
+	if !j.started[st.Task] {
+		j.started[st.Task] = true
+		e.result.Waits = append(e.result.Waits, Wait{
+			Workspace: j.job.Workspace, Urgency: j.job.Urgency, Kind: j.job.Kind,
+			Waited: a.started - time.Duration(j.source.At)*time.Millisecond,
+		})
+	}
+	if e.failing[st.Worker] {
+		e.at(e.now+failDelay, func() { e.failed(key, a) })
+		return
+	}
+	e.at(a.started+j.remaining[st.Task], func() { e.finished(key, a) })
+}
+
+func (e *engine) finished(key taskKey, a *attempt) {
+	if e.running[key] != a {
+		return
+	}
+	j := e.jobs[key.job]
+	j.done[key.task] = true
+	e.result.Finished++
+	peak := j.job.Task
+	if !j.source.Uses.IsZero() {
+		peak = j.source.Uses
+	}
+	e.policy.Finished(e.now, j.job, a.worker, peak, e.now-a.started)
+	e.release(key, a)
+}
+
+func (e *engine) failed(key taskKey, a *attempt) {
+	if e.running[key] != a {
+		return
+	}
+	e.result.Failed++
+	j := e.jobs[key.job]
+	fatal := e.policy.Failed(e.now, j.job, a.worker)
+	e.release(key, a)
+	if fatal {
+		e.result.JobsFailed++
+		e.cancel(key.job)
+		return
+	}
+	e.again(j, key.task)
+}
+
+func (e *engine) sample() {
+	s := Sample{
+		At: e.now, Capacity: e.capacity,
+		Use: make(map[string]pj.Resources, len(e.use)), Backlog: make(map[string]bool),
+	}
+	for workspace, use := range e.use {
+		s.Use[workspace] = use
+	}
+	for workspace, n := range e.backlog {
+		s.Backlog[workspace] = n > 0
+		s.Waiting = s.Waiting || n > 0
+	}
+	for worker, amount := range e.reserved {
+		s.Reserved = s.Reserved.Add(amount)
+		if capacity, ok := e.workers[worker]; ok && !amount.Fits(capacity) {
+			e.result.Overcommitted++
+		}
+	}
+	e.result.Samples = append(e.result.Samples, s)
+}
+
+func (e *engine) finish() {
+	for _, j := range e.jobs {
+		for i := range j.done {
+			if !j.done[i] && !j.cancelled {
+				e.result.Unfinished++
+			}
+		}
+	}
+}
