--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -300,6 +300,34 @@
 	return w.name, true
 }
 
+// Roomiest returns the worker with most free cores, held by nobody, that could hold the shape if it
+// were empty.
+func (x *Index) Roomiest(shape pj.Shape) (string, bool) {
+	p := &x.plain
+	if shape.Amount[pj.Accelerators] > 0 {
+		p = &x.special
+	}
+	for b := p.last(bucketCount - 1); b >= 0; b = p.last(b - 1) {
+		for _, w := range p.buckets[b] {
+			_, avoided := shape.Avoid[w.name]
+			if w.held.IsZero() && !avoided && shape.Amount.Fits(w.capacity) {
+				return w.name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// last returns the last bucket up to and including from that is not empty, or -1.
+func (p *partition) last(from int) int {
+	for b := from; b >= 0; b-- {
+		if len(p.buckets[b]) > 0 {
+			return b
+		}
+	}
+	return -1
+}
+
 // tightest returns the worker with the fewest free cores on which the shape fits.
 func (x *Index) tightest(shape pj.Shape) *worker {
 	if shape.Rack != "" {
--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -12,7 +12,6 @@
 // Bounds of reservations.
 const (
 	maxReservations   = 8
-	reserveAfter      = 30 * time.Second // blocked work that has waited this long reserves
 	reservationLasts  = time.Minute      // after which a reservation is planned anew
 	unknownRunTime    = time.Hour        // assumed for tasks of which nothing is known
 	backfillTolerance = time.Second      // how long a backfilled task may overrun
@@ -107,6 +106,21 @@
 	s.hold(best)
 }
 
+// reserveOne keeps room for one task on the worker that has most free already.
+func (s *Scheduler) reserveOne(now time.Duration, e *entry) {
+	if e.reservation != nil || len(s.reservations) >= maxReservations {
+		return
+	}
+	worker, ok := s.index.Roomiest(s.shape(e))
+	if !ok {
+		return
+	}
+	r := &reservation{entry: e, made: now, due: now, holds: map[string]pj.Resources{worker: e.amount}}
+	e.reservation = r
+	s.reservations = append(s.reservations, r)
+	s.hold(r)
+}
+
 // planReservation finds out when the workers will have room for the tasks, and where.
 func (s *Scheduler) planReservation(now time.Duration, e *entry, workers []string, tasks int) *reservation {
 	avoid := s.shape(e).Avoid
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -408,15 +408,30 @@
 	s.whenBlocked(now, e, plan)
 }
 
-// whenBlocked makes room for work that can't wait: urgent work preempts, gangs and work that has
-// waited long reserve.
+// whenBlocked makes room for work that can't wait: urgent work preempts, gangs reserve, and so does
+// a workspace that is further below its share than the task would lift it.
 func (s *Scheduler) whenBlocked(now time.Duration, e *entry, plan *pj.Plan) {
 	if e.job.Urgency == pj.Urgent && s.preemptFor(now, e, plan) {
 		return
 	}
-	if e.job.Kind == pj.KindGang || now-e.since > reserveAfter {
+	if e.job.Kind == pj.KindGang {
 		s.reserve(now, e)
+		return
+	}
+	if s.deserves(e) {
+		s.reserveOne(now, e)
+	}
+}
+
+// deserves reports whether the entry's workspace would still have the smallest share of those that
+// are ready if its next task ran.
+func (s *Scheduler) deserves(e *entry) bool {
+	next := s.ready[e.lane.key.rank].first()
+	if next == nil || next.name == e.job.Workspace {
+		return false
 	}
+	lift := e.amount.DominantShare(s.ledger.Capacity()) / s.ledger.Weight(e.job.Workspace)
+	return s.ledger.Share(e.job.Workspace)+lift < next.share
 }
 
 func (s *Scheduler) shape(e *entry) pj.Shape {
