--- a/internal/control/fairness/fairness.go
+++ b/internal/control/fairness/fairness.go
@@ -10,10 +10,12 @@
 type Ledger struct {
 	capacity pj.Resources // of the whole fleet
 	accounts map[string]*account
+	weights  float64 // of all workspaces whose weight was set
 }
 
 type account struct {
 	weight float64
+	listed bool         // its weight was set
 	limit  pj.Resources // what this cell may use
 	local  pj.Resources
 	remote pj.Resources // used in other cells, as last heard
@@ -51,7 +53,19 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	l.account(workspace).weight = weight
+	a := l.account(workspace)
+	if a.listed {
+		l.weights -= a.weight
+	}
+	a.weight = weight
+	a.listed = true
+	l.weights += weight
+}
+
+// WithinShare reports whether the workspace uses no more of the fleet than its weight entitles it
+// to when all workspaces are busy.
+func (l *Ledger) WithinShare(workspace string) bool {
+	return l.weights <= 0 || l.Share(workspace)*l.weights < 1
 }
 
 // Weight returns a workspace's weight.
--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -28,8 +28,6 @@
 	cursor  int
 	plain   partition // workers without accelerators
 	special partition // workers with accelerators
-
-	acceleratorsWanted bool
 }
 
 type worker struct {
@@ -280,12 +278,6 @@
 	}
 }
 
-// SetAcceleratorsWanted says whether a task that needs accelerators waits; then tasks that need
-// none keep off workers that have some.
-func (x *Index) SetAcceleratorsWanted(wanted bool) {
-	x.acceleratorsWanted = wanted
-}
-
 // Place returns a worker for the shape, chosen by class, without reserving anything.
 func (x *Index) Place(shape pj.Shape) (string, bool) {
 	var w *worker
@@ -339,9 +331,6 @@
 	if w := x.plain.tightest(x, shape); w != nil {
 		return w
 	}
-	if x.acceleratorsWanted {
-		return nil
-	}
 	return x.special.tightest(x, shape)
 }
 
@@ -394,9 +383,6 @@
 	if shape.Amount[pj.Accelerators] > 0 || w.capacity[pj.Accelerators] == 0 {
 		return free
 	}
-	if x.acceleratorsWanted {
-		return pj.Resources{}
-	}
 	for _, d := range []pj.Dimension{pj.Cores, pj.Memory} {
 		perDevice := w.capacity[d] / (acceleratorPart * w.capacity[pj.Accelerators])
 		free[d] -= perDevice * free[pj.Accelerators]
--- a/internal/control/scheduler/lane.go
+++ b/internal/control/scheduler/lane.go
@@ -8,11 +8,10 @@
 	pj "papayajunction"
 )
 
-// Times after which waiting work moves up one rank, so that nothing starves.
+// Times after which deferred work is served like normal work of its workspace.
 const (
 	ageInterval   = time.Second
 	deferredAgeIn = 10 * time.Minute
-	normalAgeIn   = 30 * time.Minute
 )
 
 type blocking uint8
@@ -203,14 +202,14 @@
 	return false
 }
 
-// age moves work that has waited long up one rank.
+// age moves deferred work that has waited long up one rank, so that it doesn't starve behind
+// its own workspace's normal work.
 func (s *Scheduler) age(now time.Duration) {
 	if now < s.agedAt+ageInterval {
 		return
 	}
 	s.agedAt = now
 	for _, sp := range s.spaces {
-		s.ageRank(now, sp, 1, normalAgeIn)
 		s.ageRank(now, sp, 2, deferredAgeIn)
 	}
 }
--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -12,9 +12,9 @@
 // Bounds of reservations.
 const (
 	maxReservations   = 8
-	reservationLasts  = time.Minute      // after which a reservation is planned anew
-	unknownRunTime    = time.Hour        // assumed for tasks of which nothing is known
-	backfillTolerance = time.Second      // how long a backfilled task may overrun
+	reservationLasts  = time.Minute // after which a reservation is planned anew
+	unknownRunTime    = time.Hour   // assumed for tasks of which nothing is known
+	backfillTolerance = time.Second // how long a backfilled task may overrun
 )
 
 // reservation keeps room on workers for an entry until all of it is free.
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -28,7 +28,6 @@
 	reservations []*reservation
 	dirty        map[string]struct{} // workers that gained free resources
 	agedAt       time.Duration
-	accelerators int // entries with pending tasks that need accelerators
 }
 
 type taskKey struct {
@@ -181,9 +180,6 @@
 	if e == nil {
 		e = s.newEntry(work.Job, work.Since)
 	}
-	if len(e.pending) == 0 && e.needsAccelerators() {
-		s.accelerators++
-	}
 	e.pending = append(e.pending, fresh...)
 	if e.lane == nil {
 		s.enqueue(e, e.job.Urgency.Rank(), e.runningNow > 0 || e.preempted > 0)
@@ -244,10 +240,6 @@
 	return int(n)
 }
 
-func (e *entry) needsAccelerators() bool {
-	return e.amount[pj.Accelerators] > 0
-}
-
 // Cancel drops the pending tasks of a job at constant cost. Running ones end by Ended.
 func (s *Scheduler) Cancel(job string) {
 	e := s.entries[job]
@@ -260,9 +252,6 @@
 
 // clearPending takes an entry out of its lane; the lane skips it later.
 func (s *Scheduler) clearPending(e *entry) {
-	if len(e.pending) > 0 && e.needsAccelerators() {
-		s.accelerators--
-	}
 	if e.lane != nil {
 		e.lane.waiting -= len(e.pending)
 		l := e.lane
@@ -364,21 +353,35 @@
 func (s *Scheduler) Next(now time.Duration, most int) pj.Plan {
 	var plan pj.Plan
 	s.age(now)
-	s.index.SetAcceleratorsWanted(s.accelerators > 0)
 	s.unblockDirty()
 	s.reviewReservations(now, &plan)
-	for rank := range ranks {
-		for len(plan.Starts) < most {
-			sp := s.ready[rank].first()
-			if sp == nil {
-				break
-			}
-			s.serve(now, sp.oldestReady(rank), &plan)
+	for len(plan.Starts) < most {
+		sp, rank := s.nextSpace()
+		if sp == nil {
+			break
 		}
+		s.serve(now, sp.oldestReady(rank), &plan)
 	}
 	return plan
 }
 
+// nextSpace returns the workspace to serve next and the rank of its work: urgent work of workspaces
+// that are within their share, then whatever workspace has the smallest share, most urgent first.
+func (s *Scheduler) nextSpace() (*space, int) {
+	if sp := s.ready[0].first(); sp != nil && s.ledger.WithinShare(sp.name) {
+		return sp, 0
+	}
+	var best *space
+	bestRank := 0
+	for rank := range ranks {
+		sp := s.ready[rank].first()
+		if sp != nil && (best == nil || sp.share < best.share) {
+			best, bestRank = sp, rank
+		}
+	}
+	return best, bestRank
+}
+
 // serve starts the next task or gang of a lane, or blocks the lane.
 func (s *Scheduler) serve(now time.Duration, l *lane, plan *pj.Plan) {
 	e := l.first()
@@ -411,7 +414,7 @@
 // whenBlocked makes room for work that can't wait: urgent work preempts, gangs reserve, and so does
 // a workspace that is further below its share than the task would lift it.
 func (s *Scheduler) whenBlocked(now time.Duration, e *entry, plan *pj.Plan) {
-	if e.job.Urgency == pj.Urgent && s.preemptFor(now, e, plan) {
+	if e.job.Urgency == pj.Urgent && s.ledger.WithinShare(e.job.Workspace) && s.preemptFor(now, e, plan) {
 		return
 	}
 	if e.job.Kind == pj.KindGang {
@@ -426,7 +429,7 @@
 // deserves reports whether the entry's workspace would still have the smallest share of those that
 // are ready if its next task ran.
 func (s *Scheduler) deserves(e *entry) bool {
-	next := s.ready[e.lane.key.rank].first()
+	next, _ := s.nextSpace()
 	if next == nil || next.name == e.job.Workspace {
 		return false
 	}
@@ -470,19 +473,11 @@
 		Job: e.job.ID, Task: task, Worker: worker, Reservation: e.amount, Waited: now - e.since,
 	})
 	if len(e.pending) == 0 {
-		s.leaveLane(e)
+		s.clearPending(e)
 	}
 	return r
 }
 
-// leaveLane takes an entry whose tasks have all started out of its lane.
-func (s *Scheduler) leaveLane(e *entry) {
-	s.clearPending(e)
-	if e.needsAccelerators() {
-		s.accelerators--
-	}
-}
-
 // startGang starts all pending tasks of a gang or none, in one rack if they fit.
 func (s *Scheduler) startGang(now time.Duration, e *entry, plan *pj.Plan) bool {
 	held := e.reservation
