--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -28,6 +28,14 @@
 	cursor  int
 	plain   partition // workers without accelerators
 	special partition // workers with accelerators
+
+	capacity pj.Resources // of the usable workers
+	free     pj.Resources // of the usable workers, neither reserved nor held
+}
+
+// counted is what a worker adds to the sums of the index.
+type counted struct {
+	capacity, free pj.Resources
 }
 
 type worker struct {
@@ -37,6 +45,7 @@
 	reserved pj.Resources
 	held     pj.Resources // kept free for a reservation
 	usable   bool
+	counted  counted
 	bucket   int // -1 if in no bucket
 	position int
 }
@@ -109,7 +118,30 @@
 	return -1
 }
 
+// count brings the sums of the index up to date with a worker.
+func (x *Index) count(w *worker, now counted) {
+	x.capacity = x.capacity.Sub(w.counted.capacity).Add(now.capacity)
+	x.free = x.free.Sub(w.counted.free).Add(now.free)
+	w.counted = now
+}
+
+// Spare reports whether, after taking the amount, at least one part in parts of the usable
+// capacity would be free in each dimension that the amount uses.
+func (x *Index) Spare(amount pj.Resources, parts int64) bool {
+	for d := range amount {
+		if amount[d] > 0 && x.free[d]-amount[d] < x.capacity[d]/parts {
+			return false
+		}
+	}
+	return true
+}
+
 func (x *Index) refresh(w *worker) {
+	if w.usable {
+		x.count(w, counted{capacity: w.capacity, free: w.free()})
+	} else {
+		x.count(w, counted{})
+	}
 	p := x.partitionOf(w)
 	if !w.usable {
 		p.remove(w)
@@ -180,6 +212,7 @@
 		return
 	}
 	x.partitionOf(w).remove(w)
+	x.count(w, counted{})
 	w.rack.drop(w)
 	delete(x.workers, name)
 }
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -13,6 +13,10 @@
 
 const ranks = 3
 
+// sparePart is the part of the cell, one in sparePart, that workspaces beyond their share leave
+// free, so that those within their share needn't wait for a task to end.
+const sparePart = 50
+
 // Scheduler is a pj.Scheduler for one cell. Its methods must be called from one goroutine.
 type Scheduler struct {
 	ledger    *fairness.Ledger
@@ -397,6 +401,10 @@
 		s.block(l, blockedByLimit)
 		return
 	}
+	if !s.ledger.WithinShare(e.job.Workspace) && !s.index.Spare(needed, sparePart) {
+		s.block(l, blockedByFit)
+		return
+	}
 	started := false
 	if e.job.Kind == pj.KindGang {
 		started = s.startGang(now, e, plan)
