--- a/internal/control/scheduler/preempt.go
+++ b/internal/control/scheduler/preempt.go
@@ -135,7 +135,15 @@
 	return a.key.task - b.key.task
 }
 
-// preemptible reports whether a task may be made to give way to an urgent one. Urgent work never
+// compareForShedding puts the least urgent and newest first.
+func (s *Scheduler) compareForShedding(a, b *running) int {
+	if d := b.entry.job.Urgency.Rank() - a.entry.job.Urgency.Rank(); d != 0 {
+		return d
+	}
+	return s.compareVictims(a, b)
+}
+
+// preemptible reports whether a task may be made to give way, to the entry if there is one. Urgent work never
 // does, nor work that may not be repeated, that has only just started or that had to give way
 // often; so preemption neither cascades nor goes back and forth.
 func (s *Scheduler) preemptible(now time.Duration, e *entry, t *running) bool {
@@ -143,10 +151,11 @@
 	if job.Urgency == pj.Urgent || !job.Repeatable || job.Kind == pj.KindGang || t.preempting {
 		return false
 	}
-	if t.entry.preempted >= maxPreemptions && job.Kind != pj.KindService {
+	if t.entry.preempted >= maxPreemptions*job.Tasks && job.Kind != pj.KindService {
 		return false
 	}
-	return now-t.started >= minimalRun || t.backfilled || e.job.Workspace == job.Workspace
+	ownWork := e != nil && e.job.Workspace == job.Workspace
+	return now-t.started >= minimalRun || t.backfilled || ownWork
 }
 
 // Shed makes tasks of a workspace give way until what it uses is within the limit, the least
@@ -169,12 +178,7 @@
 		}
 		candidates = append(candidates, t)
 	}
-	slices.SortFunc(candidates, func(a, b *running) int {
-		if d := b.entry.job.Urgency.Rank() - a.entry.job.Urgency.Rank(); d != 0 {
-			return d
-		}
-		return s.compareVictims(a, b)
-	})
+	slices.SortFunc(candidates, s.compareForShedding)
 	for _, t := range candidates {
 		if use.FitsWhereUsed(limit) {
 			break
@@ -198,12 +202,7 @@
 		}
 		candidates = append(candidates, t)
 	}
-	slices.SortFunc(candidates, func(a, b *running) int {
-		if d := b.entry.job.Urgency.Rank() - a.entry.job.Urgency.Rank(); d != 0 {
-			return d
-		}
-		return s.compareVictims(a, b)
-	})
+	slices.SortFunc(candidates, s.compareForShedding)
 	for _, t := range candidates {
 		if (pj.Resources{}).Fits(free) {
 			break
--- /dev/null
+++ b/internal/control/scheduler/scale_test.go
@@ -0,0 +1,117 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/scheduler"
+)
+
+// size is a fleet for the benchmarks; the last one is the size that is planned for.
+type size struct {
+	workers, accelerated, running, workspaces int
+}
+
+var sizes = map[string]size{
+	"48 workers":   {workers: 48, accelerated: 12, running: 960, workspaces: 8},
+	"350 workers":  {workers: 350, accelerated: 200, running: 7000, workspaces: 58},
+	"1400 workers": {workers: 1400, accelerated: 825, running: 28000, workspaces: 230},
+}
+
+type fleet struct {
+	s       *scheduler.Scheduler
+	rand    *rand.Rand
+	now     time.Duration
+	running []pj.Start
+	jobs    int
+	size    size
+}
+
+// newFleet returns a full fleet with work of every workspace waiting.
+func newFleet(n size) *fleet {
+	f := &fleet{s: scheduler.New(), rand: rand.New(rand.NewPCG(1, 2)), size: n, now: time.Hour}
+	var total pj.Resources
+	for i := range n.workers {
+		capacity := pj.NewResources(64, 128, 0, 0)
+		if i < n.accelerated {
+			capacity[pj.Accelerators] = 4
+		}
+		total = total.Add(capacity)
+		f.s.SetWorker(pj.Worker{Name: fmt.Sprintf("w%04d", i), Rack: fmt.Sprintf("r%03d", i/8), Capacity: capacity})
+	}
+	f.s.SetFleetCapacity(total)
+	for i := range n.workspaces {
+		f.s.SetWorkspace(fmt.Sprintf("ws%03d", i), 1+float64(i%7), total)
+	}
+	for len(f.running) < n.running {
+		f.submit()
+		f.decide()
+		if f.jobs > 2*n.running {
+			break
+		}
+	}
+	for range 4 * n.workspaces {
+		f.submit()
+	}
+	f.decide()
+	return f
+}
+
+func (f *fleet) submit() {
+	f.jobs++
+	ws := f.rand.IntN(f.size.workspaces)
+	task := []pj.Resources{pj.NewResources(2, 4, 0, 0), pj.NewResources(3, 6, 0, 0), pj.NewResources(4, 8, 0, 0), pj.NewResources(4, 8, 1, 0)}[f.jobs%4]
+	job := &pj.Job{
+		ID: fmt.Sprintf("z.%d", f.jobs), Workspace: fmt.Sprintf("ws%03d", ws), Queue: fmt.Sprintf("q%d-%d", ws, f.jobs%4),
+		Kind: pj.KindBatch, Urgency: pj.Urgencies()[f.jobs%3], Repeatable: true, Tasks: 1, Task: task, RunTime: pj.Duration(time.Minute),
+	}
+	f.s.Submit(f.now, pj.Work{Job: job, Pending: []int{0}, Since: f.now})
+}
+
+func (f *fleet) decide() {
+	plan := f.s.Next(f.now, 256)
+	f.running = append(f.running, plan.Starts...)
+	for _, p := range plan.Preempts {
+		f.end(slices.IndexFunc(f.running, func(st pj.Start) bool { return st.Job == p.Job }))
+	}
+}
+
+func (f *fleet) end(i int) {
+	st := f.running[i]
+	f.running[i] = f.running[len(f.running)-1]
+	f.running = f.running[:len(f.running)-1]
+	f.s.Ended(f.now, st.Job, st.Task)
+}
+
+// BenchmarkPlacement ends one task of a full fleet, submits another job and decides. It reports the
+// 99th percentile of one such round too.
+func BenchmarkPlacement(b *testing.B) {
+	for name, n := range sizes {
+		b.Run(name, func(b *testing.B) {
+			f := newFleet(n)
+			spans := make([]time.Duration, 0, b.N)
+			starts := -len(f.running)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				f.now += 5 * time.Millisecond
+				f.end(f.rand.IntN(len(f.running)))
+				starts++
+				f.submit()
+				begun := time.Now()
+				f.decide()
+				spans = append(spans, time.Since(begun))
+			}
+			b.StopTimer()
+			starts += len(f.running)
+			slices.Sort(spans)
+			b.ReportMetric(float64(spans[len(spans)*99/100].Microseconds()), "p99-us")
+			b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+			b.ReportMetric(float64(len(f.running)), "running")
+		})
+	}
+}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -32,6 +32,7 @@
 	reservations []*reservation
 	dirty        map[string]struct{} // workers that gained free resources
 	agedAt       time.Duration
+	rebalancedAt time.Duration
 }
 
 type taskKey struct {
@@ -366,6 +367,7 @@
 		}
 		s.serve(now, sp.oldestReady(rank), &plan)
 	}
+	s.rebalance(now, &plan)
 	return plan
 }
 
