--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -26,8 +26,9 @@
 	racks   map[string]*rack
 	order   []*rack
 	cursor  int
-	plain   partition // workers without accelerators
-	special partition // workers with accelerators
+	plain   partition // workers without accelerators, by free cores
+	special partition // workers with free accelerators, by free cores
+	shared  partition // workers with accelerators, by the cores that other tasks may use
 
 	capacity pj.Resources // of the usable workers
 	free     pj.Resources // of the usable workers, neither reserved nor held
@@ -46,10 +47,24 @@
 	held     pj.Resources // kept free for a reservation
 	usable   bool
 	counted  counted
-	bucket   int // -1 if in no bucket
+	free     pj.Resources // neither reserved nor held
+	open     pj.Resources // what tasks without accelerators may use
+	places   [2]place     // in plain or special, and in shared
+}
+
+// place is a worker's place in one partition.
+type place struct {
+	in       bool
+	bucket   int
 	position int
 }
 
+// Positions in worker.places.
+const (
+	ownPlace = iota
+	sharedPlace
+)
+
 type rack struct {
 	name    string
 	workers []*worker
@@ -57,51 +72,80 @@
 
 // partition is a set of buckets with a bitmap of those that are not empty.
 type partition struct {
+	which   int // of worker.places
 	buckets [bucketCount][]*worker
 	filled  [bucketCount / 64]uint64
 }
 
 // New returns an empty index.
 func New() *Index {
-	return &Index{workers: make(map[string]*worker), racks: make(map[string]*rack)}
+	return &Index{
+		workers: make(map[string]*worker), racks: make(map[string]*rack), shared: partition{which: sharedPlace},
+	}
 }
 
-func (w *worker) free() pj.Resources {
-	return w.capacity.Sub(w.reserved).Sub(w.held)
+// recompute brings what is free on a worker up to date.
+func (w *worker) recompute() {
+	w.free = w.capacity.Sub(w.reserved).Sub(w.held)
+	w.open = w.free
+	if w.capacity[pj.Accelerators] == 0 {
+		return
+	}
+	for _, d := range []pj.Dimension{pj.Cores, pj.Memory} {
+		perDevice := w.capacity[d] / (acceleratorPart * w.capacity[pj.Accelerators])
+		w.open[d] -= perDevice * max(w.free[pj.Accelerators], 0)
+	}
 }
 
 func bucketOf(free pj.Resources) int {
 	return int(min(max(free[pj.Cores], 0)/coresPerBucket, bucketCount-1))
 }
 
-func (x *Index) partitionOf(w *worker) *partition {
-	if w.capacity[pj.Accelerators] > 0 {
-		return &x.special
-	}
-	return &x.plain
-}
-
-func (p *partition) insert(w *worker) {
-	w.bucket = bucketOf(w.free())
-	w.position = len(p.buckets[w.bucket])
-	p.buckets[w.bucket] = append(p.buckets[w.bucket], w)
-	p.filled[w.bucket/64] |= 1 << (w.bucket % 64)
+func (p *partition) insert(w *worker, bucket int) {
+	at := place{in: true, bucket: bucket, position: len(p.buckets[bucket])}
+	w.places[p.which] = at
+	p.buckets[bucket] = append(p.buckets[bucket], w)
+	p.filled[bucket/64] |= 1 << (bucket % 64)
 }
 
 func (p *partition) remove(w *worker) {
-	if w.bucket < 0 {
+	at := w.places[p.which]
+	if !at.in {
 		return
 	}
-	b := p.buckets[w.bucket]
+	b := p.buckets[at.bucket]
 	last := len(b) - 1
-	b[w.position] = b[last]
-	b[w.position].position = w.position
+	b[at.position] = b[last]
+	b[at.position].places[p.which].position = at.position
 	b[last] = nil
-	p.buckets[w.bucket] = b[:last]
+	p.buckets[at.bucket] = b[:last]
 	if last == 0 {
-		p.filled[w.bucket/64] &^= 1 << (w.bucket % 64)
+		p.filled[at.bucket/64] &^= 1 << (at.bucket % 64)
 	}
-	w.bucket = -1
+	w.places[p.which] = place{}
+}
+
+// put makes a worker stand in the bucket for the free amount, or in none.
+func (p *partition) put(w *worker, there bool, free pj.Resources) {
+	at := w.places[p.which]
+	bucket := bucketOf(free)
+	if there && at.in && at.bucket == bucket {
+		return
+	}
+	p.remove(w)
+	if there {
+		p.insert(w, bucket)
+	}
+}
+
+// takeOut removes a worker from all partitions.
+func (x *Index) takeOut(w *worker) {
+	if w.capacity[pj.Accelerators] == 0 {
+		x.plain.remove(w)
+		return
+	}
+	x.special.remove(w)
+	x.shared.remove(w)
 }
 
 // next returns the first bucket from on that is not empty, or -1.
@@ -137,21 +181,18 @@
 }
 
 func (x *Index) refresh(w *worker) {
+	w.recompute()
 	if w.usable {
-		x.count(w, counted{capacity: w.capacity, free: w.free()})
+		x.count(w, counted{capacity: w.capacity, free: w.free})
 	} else {
 		x.count(w, counted{})
 	}
-	p := x.partitionOf(w)
-	if !w.usable {
-		p.remove(w)
+	if w.capacity[pj.Accelerators] == 0 {
+		x.plain.put(w, w.usable, w.free)
 		return
 	}
-	if w.bucket >= 0 && w.bucket == bucketOf(w.free()) {
-		return
-	}
-	p.remove(w)
-	p.insert(w)
+	x.special.put(w, w.usable && w.free[pj.Accelerators] > 0, w.free)
+	x.shared.put(w, w.usable, w.open)
 }
 
 // Set adds a worker or changes its capacity and rack, and reports whether anything changed.
@@ -161,10 +202,10 @@
 		return false
 	}
 	if w == nil {
-		w = &worker{name: name, usable: true, bucket: -1}
+		w = &worker{name: name, usable: true}
 		x.workers[name] = w
 	} else {
-		x.partitionOf(w).remove(w)
+		x.takeOut(w)
 		w.rack.drop(w)
 	}
 	w.capacity = capacity
@@ -211,7 +252,7 @@
 	if w == nil {
 		return
 	}
-	x.partitionOf(w).remove(w)
+	x.takeOut(w)
 	x.count(w, counted{})
 	w.rack.drop(w)
 	delete(x.workers, name)
@@ -243,10 +284,15 @@
 	x.Hold(name, pj.Resources{}.Sub(amount))
 }
 
+// Count returns the number of workers.
+func (x *Index) Count() int {
+	return len(x.workers)
+}
+
 // Free returns what is neither reserved nor held on a worker.
 func (x *Index) Free(name string) pj.Resources {
 	if w := x.workers[name]; w != nil {
-		return w.free()
+		return w.free
 	}
 	return pj.Resources{}
 }
@@ -300,6 +346,18 @@
 	}
 }
 
+// EachFrom is like Each, but begins with the rack at place start and goes round.
+func (x *Index) EachFrom(start int, visit func(name, rack string, usable bool) bool) {
+	for i := range x.order {
+		r := x.order[(start+i)%len(x.order)]
+		for _, w := range r.workers {
+			if !visit(w.name, r.name, w.usable) {
+				return
+			}
+		}
+	}
+}
+
 // Racks calls visit with the workers of each rack.
 func (x *Index) Racks(visit func(rack string, workers []string)) {
 	for _, r := range x.order {
@@ -345,9 +403,13 @@
 
 // last returns the last bucket up to and including from that is not empty, or -1.
 func (p *partition) last(from int) int {
-	for b := from; b >= 0; b-- {
-		if len(p.buckets[b]) > 0 {
-			return b
+	for word := from / 64; from >= 0 && word >= 0; word-- {
+		set := p.filled[word]
+		if word == from/64 {
+			set &= ^uint64(0) >> (63 - from%64)
+		}
+		if set != 0 {
+			return word*64 + 63 - bits.LeadingZeros64(set)
 		}
 	}
 	return -1
@@ -364,7 +426,7 @@
 	if w := x.plain.tightest(x, shape); w != nil {
 		return w
 	}
-	return x.special.tightest(x, shape)
+	return x.shared.tightest(x, shape)
 }
 
 func (p *partition) tightest(x *Index, shape pj.Shape) *worker {
@@ -395,34 +457,29 @@
 		if !x.fits(w, shape) {
 			continue
 		}
-		if best == nil || w.free()[pj.Cores] < best.free()[pj.Cores] {
+		if best == nil || w.free[pj.Cores] < best.free[pj.Cores] {
 			best = w
 		}
 	}
 	return best
 }
 
+// availableTo returns what the shape may use of a worker.
+func (w *worker) availableTo(shape pj.Shape) pj.Resources {
+	if shape.Amount[pj.Accelerators] > 0 {
+		return w.free
+	}
+	return w.open
+}
+
 func (x *Index) fits(w *worker, shape pj.Shape) bool {
-	if !w.usable || !shape.Amount.Fits(x.available(w, shape)) {
+	if !w.usable || !shape.Amount.Fits(w.availableTo(shape)) {
 		return false
 	}
 	_, avoided := shape.Avoid[w.name]
 	return !avoided
 }
 
-// available returns what the shape may use of a worker.
-func (x *Index) available(w *worker, shape pj.Shape) pj.Resources {
-	free := w.free()
-	if shape.Amount[pj.Accelerators] > 0 || w.capacity[pj.Accelerators] == 0 {
-		return free
-	}
-	for _, d := range []pj.Dimension{pj.Cores, pj.Memory} {
-		perDevice := w.capacity[d] / (acceleratorPart * w.capacity[pj.Accelerators])
-		free[d] -= perDevice * free[pj.Accelerators]
-	}
-	return free
-}
-
 // spread returns a worker in a rack that holds the fewest tasks of the job, in turn.
 func (x *Index) spread(shape pj.Shape) *worker {
 	var best *worker
@@ -455,7 +512,7 @@
 		if !x.fits(w, shape) {
 			continue
 		}
-		if best == nil || w.free()[pj.Cores] > best.free()[pj.Cores] {
+		if best == nil || w.free[pj.Cores] > best.free[pj.Cores] {
 			best = w
 		}
 	}
--- a/internal/control/scheduler/lane.go
+++ b/internal/control/scheduler/lane.go
@@ -41,22 +41,26 @@
 	waiting int // their pending tasks
 	blocked blocking
 	counted bool // counted in space.ready
+	spared  bool // blocked only to leave a part of the cell free
+	heap    *laneHeap
+	place   int // in heap
 }
 
 // space is a workspace with its lanes.
 type space struct {
-	name  string
-	share float64
-	lanes map[laneKey]*lane
-	order [ranks][]*lane
-	ready [ranks]int // lanes that are neither empty nor blocked
-	place [ranks]int // position in the heap of the rank, -1 if not in it
+	name    string
+	running map[taskKey]*running
+	share   float64
+	lanes   map[laneKey]*lane
+	order   [ranks][]*lane
+	ready   [ranks]int // lanes that are neither empty nor blocked
+	place   [ranks]int // position in the heap of the rank, -1 if not in it
 }
 
 func (s *Scheduler) space(name string) *space {
 	sp := s.spaces[name]
 	if sp == nil {
-		sp = &space{name: name, lanes: make(map[laneKey]*lane), place: [ranks]int{-1, -1, -1}}
+		sp = &space{name: name, running: make(map[taskKey]*running), lanes: make(map[laneKey]*lane), place: [ranks]int{-1, -1, -1}}
 		s.spaces[name] = sp
 	}
 	return sp
@@ -67,6 +71,11 @@
 	sp.share = s.ledger.Share(sp.name)
 	for rank := range ranks {
 		s.ready[rank].update(sp)
+		for _, l := range sp.order[rank] {
+			if l.heap != nil {
+				heap.Fix(l.heap, l.place)
+			}
+		}
 	}
 }
 
@@ -123,6 +132,9 @@
 		}
 		s.ready[l.key.rank].update(l.space)
 	}
+	if l.live == 0 {
+		s.unpark(l)
+	}
 	if sp := l.space; l.live == 0 && sp.lanes[l.key] == l {
 		delete(sp.lanes, l.key)
 		sp.order[l.key.rank] = slices.DeleteFunc(sp.order[l.key.rank], func(o *lane) bool { return o == l })
@@ -132,6 +144,9 @@
 func (s *Scheduler) block(l *lane, why blocking) {
 	l.blocked = why
 	s.refreshLane(l)
+	if why == blockedByFit && l.live > 0 {
+		s.park(l)
+	}
 }
 
 // unblock makes lanes ready that were blocked for the given cause. The caller reorders the space.
@@ -169,39 +184,6 @@
 	return best
 }
 
-// unblockDirty makes lanes ready that fit on a worker which gained free resources.
-func (s *Scheduler) unblockDirty() {
-	if len(s.dirty) == 0 {
-		return
-	}
-	rooms := make([]pj.Resources, 0, len(s.dirty))
-	for w := range s.dirty {
-		if s.index.Usable(w) {
-			rooms = append(rooms, s.index.Unreserved(w))
-		}
-	}
-	clear(s.dirty)
-	for _, sp := range s.spaces {
-		for _, lanes := range sp.order {
-			for _, l := range lanes {
-				if l.blocked == blockedByFit && fitsAny(l.key.amount, rooms) {
-					l.blocked = notBlocked
-					s.refreshLane(l)
-				}
-			}
-		}
-	}
-}
-
-func fitsAny(amount pj.Resources, rooms []pj.Resources) bool {
-	for _, room := range rooms {
-		if amount.Fits(room) {
-			return true
-		}
-	}
-	return false
-}
-
 // age moves deferred work that has waited long up one rank, so that it doesn't starve behind
 // its own workspace's normal work.
 func (s *Scheduler) age(now time.Duration) {
--- a/internal/control/scheduler/preempt.go
+++ b/internal/control/scheduler/preempt.go
@@ -10,10 +10,12 @@
 
 // Bounds of preemption.
 const (
-	minimalRun     = 10 * time.Second // a task that started more recently is left alone
-	maxPreemptions = 3                // of one job; then it is left alone
-	preemptEvery   = 5 * time.Second  // for the same job, unless earlier victims have gone
-	maxVictims     = 8                // on one worker for one task
+	minimalRun      = 10 * time.Second // a task that started more recently is left alone
+	maxPreemptions  = 3                // of one job; then it is left alone
+	preemptEvery    = 5 * time.Second  // for the same job, unless earlier victims have gone
+	maxVictims      = 8                // on one worker for one task
+	comparedWorkers = 64               // with victims, of which the cheapest is taken
+	scannedWorkers  = 128              // for one task, at a different place each time
 )
 
 // preemptFor makes room for urgent work on one worker: the cheapest victims, of the workspaces
@@ -80,19 +82,23 @@
 	best := ""
 	var bestVictims []*running
 	var bestCost cost
-	s.index.Each(func(worker, _ string, usable bool) bool {
+	compared, scanned := 0, 0
+	s.victimCursor += scannedWorkers / comparedWorkers
+	s.index.EachFrom(s.victimCursor, func(worker, _ string, usable bool) bool {
 		if _, avoided := avoid[worker]; avoided || !usable || !e.amount.Fits(s.index.Capacity(worker)) {
 			return true
 		}
+		scanned++
 		victims, c, ok := s.victimsOn(now, e, worker)
 		if !ok {
-			return true
+			return scanned < scannedWorkers
 		}
+		compared++
 		better := best == "" || c.compare(bestCost) < 0 || (c == bestCost && worker < best)
 		if better {
 			best, bestVictims, bestCost = worker, victims, c
 		}
-		return true
+		return compared < comparedWorkers && scanned < scannedWorkers
 	})
 	return best, bestVictims
 }
@@ -105,8 +111,11 @@
 			candidates = append(candidates, t)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *running) int { return s.compareVictims(a, b) })
 	free := s.index.Free(worker)
+	if !s.couldFree(e, free, candidates) {
+		return nil, cost{}, false
+	}
+	slices.SortFunc(candidates, func(a, b *running) int { return s.compareVictims(a, b) })
 	total := cost{share: -1e9}
 	var victims []*running
 	for _, t := range candidates {
@@ -121,6 +130,14 @@
 	return victims, total, e.amount.Fits(free) && len(victims) > 0
 }
 
+// couldFree reports whether the entry would fit if all candidates were gone.
+func (s *Scheduler) couldFree(e *entry, free pj.Resources, candidates []*running) bool {
+	for _, t := range candidates {
+		free = free.Add(t.reservation)
+	}
+	return e.amount.Fits(free)
+}
+
 func (s *Scheduler) compareVictims(a, b *running) int {
 	shareA, shareB := s.space(a.entry.job.Workspace).share, s.space(b.entry.job.Workspace).share
 	if d := cmp.Compare(shareB, shareA); d != 0 {
@@ -129,10 +146,7 @@
 	if d := cmp.Compare(b.started, a.started); d != 0 {
 		return d
 	}
-	if d := cmp.Compare(a.key.job, b.key.job); d != 0 {
-		return d
-	}
-	return a.key.task - b.key.task
+	return a.key.compare(b.key)
 }
 
 // compareForShedding puts the least urgent and newest first.
@@ -147,6 +161,9 @@
 // does, nor work that may not be repeated, that has only just started or that had to give way
 // often; so preemption neither cascades nor goes back and forth.
 func (s *Scheduler) preemptible(now time.Duration, e *entry, t *running) bool {
+	if t.preempting || (e == nil && now-t.started < minimalRun) {
+		return false
+	}
 	job := t.entry.job
 	if job.Urgency == pj.Urgent || !job.Repeatable || job.Kind == pj.KindGang || t.preempting {
 		return false
@@ -168,10 +185,7 @@
 		return nil
 	}
 	var candidates []*running
-	for _, t := range s.running {
-		if t.entry.job.Workspace != workspace {
-			continue
-		}
+	for _, t := range s.space(workspace).running {
 		if t.preempting {
 			use = use.Sub(t.reservation)
 			continue
--- a/internal/control/scheduler/rebalance.go
+++ b/internal/control/scheduler/rebalance.go
@@ -85,8 +85,8 @@
 // newestOf returns the tasks of a workspace that may give way, least urgent and newest first.
 func (s *Scheduler) newestOf(now time.Duration, sp *space) []*running {
 	var candidates []*running
-	for _, t := range s.running {
-		if t.entry.job.Workspace == sp.name && s.preemptible(now, nil, t) {
+	for _, t := range sp.running {
+		if s.preemptible(now, nil, t) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	pj "papayajunction"
@@ -11,9 +11,11 @@
 
 // Bounds of reservations.
 const (
-	maxReservations   = 8
+	leastReservations = 8           // that may stand at once in any cell
+	workersAHold      = 6           // one reservation more for each so many workers
 	reservationLasts  = time.Minute // after which a reservation is planned anew
 	unknownRunTime    = time.Hour   // assumed for tasks of which nothing is known
+	reviewInterval    = 50 * time.Millisecond
 	backfillTolerance = time.Second // how long a backfilled task may overrun
 )
 
@@ -73,11 +75,16 @@
 	at     time.Duration
 	worker string
 	amount pj.Resources
+	key    taskKey
+}
+
+func (s *Scheduler) maxReservations() int {
+	return max(leastReservations, s.index.Count()/workersAHold)
 }
 
 // reserve keeps the room for an entry that will be free soonest.
 func (s *Scheduler) reserve(now time.Duration, e *entry) {
-	if e.reservation != nil || len(s.reservations) >= maxReservations {
+	if e.reservation != nil || len(s.reservations) >= s.maxReservations() {
 		return
 	}
 	tasks := 1
@@ -108,7 +115,7 @@
 
 // reserveOne keeps room for one task on the worker that has most free already.
 func (s *Scheduler) reserveOne(now time.Duration, e *entry) {
-	if e.reservation != nil || len(s.reservations) >= maxReservations {
+	if e.reservation != nil || len(s.reservations) >= s.maxReservations() {
 		return
 	}
 	worker, ok := s.index.Roomiest(s.shape(e))
@@ -135,17 +142,14 @@
 		count += times(room[w], e.amount)
 		possible += times(s.index.Capacity(w), e.amount)
 		for _, r := range s.onWorker[w] {
-			later = append(later, freeing{at: s.expectedEnd(now, r), worker: w, amount: r.reservation})
+			later = append(later, freeing{at: s.expectedEnd(now, r), worker: w, amount: r.reservation, key: r.key})
 		}
 	}
 	if possible < tasks {
 		return nil
 	}
 	slices.SortFunc(later, func(a, b freeing) int {
-		if a.at != b.at {
-			return int(min(max(a.at-b.at, -1), 1))
-		}
-		return strings.Compare(a.worker, b.worker)
+		return cmp.Or(cmp.Compare(a.at, b.at), a.key.compare(b.key))
 	})
 	due := now
 	for i := 0; count < tasks && i < len(later); i++ {
@@ -259,8 +263,12 @@
 // reviewReservations makes backfilled tasks give way that run too long, and plans reservations
 // anew that have not come true.
 func (s *Scheduler) reviewReservations(now time.Duration, plan *pj.Plan) {
+	if len(s.reservations) == 0 || now < s.reviewedAt+reviewInterval {
+		return
+	}
+	s.reviewedAt = now
 	for _, r := range slices.Clone(s.reservations) {
-		if now > r.due+backfillTolerance {
+		if s.backfilled > 0 && now > r.due+backfillTolerance {
 			s.evictBackfilled(r, plan)
 		}
 		if now > max(r.made+reservationLasts, r.due+reservationLasts) {
@@ -273,7 +281,8 @@
 
 func (s *Scheduler) evictBackfilled(r *reservation, plan *pj.Plan) {
 	for _, w := range r.workers() {
-		for _, t := range s.onWorker[w] {
+		tasks := slices.SortedFunc(maps.Values(s.onWorker[w]), func(a, b *running) int { return a.key.compare(b.key) })
+		for _, t := range tasks {
 			if t.backfilled && !t.preempting {
 				s.preempt(t, plan)
 			}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,7 +32,13 @@
 	onWorker     map[string]map[taskKey]*running
 	reservations []*reservation
 	dirty        map[string]struct{} // workers that gained free resources
+	parked       map[shapeKey]*laneHeap
+	shapes       []*laneHeap // those of parked, oldest first
 	agedAt       time.Duration
+	retriedAt    time.Duration
+	reviewedAt   time.Duration
+	backfilled   int // running tasks that were backfilled
+	victimCursor int
 	rebalancedAt time.Duration
 }
 
@@ -40,6 +47,10 @@
 	task int
 }
 
+func (k taskKey) compare(o taskKey) int {
+	return cmp.Or(cmp.Compare(k.job, o.job), cmp.Compare(k.task, o.task))
+}
+
 // entry is a job with pending tasks or with running ones.
 type entry struct {
 	job         *pj.Job
@@ -92,6 +103,7 @@
 		running:  make(map[taskKey]*running),
 		onWorker: make(map[string]map[taskKey]*running),
 		dirty:    make(map[string]struct{}),
+		parked:   make(map[shapeKey]*laneHeap),
 	}
 	for r := range s.ready {
 		s.ready[r].rank = r
@@ -287,6 +299,7 @@
 	key := taskKey{job: e.job.ID, task: task}
 	r := &running{key: key, entry: e, worker: worker, reservation: reservation, started: started}
 	s.running[key] = r
+	s.space(e.job.Workspace).running[key] = r
 	if s.onWorker[worker] == nil {
 		s.onWorker[worker] = make(map[taskKey]*running)
 	}
@@ -307,6 +320,9 @@
 		return
 	}
 	delete(s.running, key)
+	if r.backfilled {
+		s.backfilled--
+	}
 	delete(s.onWorker[r.worker], key)
 	if len(s.onWorker[r.worker]) == 0 {
 		delete(s.onWorker, r.worker)
@@ -317,6 +333,7 @@
 	s.index.Release(r.worker, r.reservation)
 	s.ledger.Refund(e.job.Workspace, r.reservation)
 	sp := s.space(e.job.Workspace)
+	delete(sp.running, key)
 	sp.unblock(blockedByLimit)
 	s.reorder(sp)
 	s.dirty[r.worker] = struct{}{}
@@ -358,17 +375,39 @@
 func (s *Scheduler) Next(now time.Duration, most int) pj.Plan {
 	var plan pj.Plan
 	s.age(now)
-	s.unblockDirty()
 	s.reviewReservations(now, &plan)
+	s.retryParked(now)
+	s.wakeOwners()
+	s.serveReady(now, most, &plan)
+	tried := make(map[*lane]struct{})
+	for len(plan.Starts) < most && s.wakeParked(now, tried) {
+		s.serveReadyTried(now, most, &plan, tried)
+	}
+	if len(plan.Starts) < most {
+		clear(s.dirty)
+	}
+	s.rebalance(now, &plan)
+	return plan
+}
+
+// serveReady serves the lanes that are ready until none is or there are enough starts.
+func (s *Scheduler) serveReady(now time.Duration, most int, plan *pj.Plan) {
+	s.serveReadyTried(now, most, plan, nil)
+}
+
+// serveReadyTried also notes the lanes that were served in vain.
+func (s *Scheduler) serveReadyTried(now time.Duration, most int, plan *pj.Plan, tried map[*lane]struct{}) {
 	for len(plan.Starts) < most {
 		sp, rank := s.nextSpace()
 		if sp == nil {
-			break
+			return
+		}
+		l := sp.oldestReady(rank)
+		s.serve(now, l, plan)
+		if l.blocked != notBlocked && tried != nil {
+			tried[l] = struct{}{}
 		}
-		s.serve(now, sp.oldestReady(rank), &plan)
 	}
-	s.rebalance(now, &plan)
-	return plan
 }
 
 // nextSpace returns the workspace to serve next and the rank of its work: urgent work of workspaces
@@ -403,7 +442,8 @@
 		s.block(l, blockedByLimit)
 		return
 	}
-	if !s.ledger.WithinShare(e.job.Workspace) && !s.index.Spare(needed, sparePart) {
+	l.spared = !s.ledger.WithinShare(e.job.Workspace) && !s.index.Spare(needed, sparePart)
+	if l.spared {
 		s.block(l, blockedByFit)
 		return
 	}
@@ -467,6 +507,7 @@
 	}
 	if worker, ok := s.backfill(now, e, shape); ok {
 		s.start(now, e, worker, plan).backfilled = true
+		s.backfilled++
 		return true
 	}
 	return false
--- a/internal/replay/engine/engine.go
+++ b/internal/replay/engine/engine.go
@@ -2,8 +2,11 @@
 package engine
 
 import (
+	"cmp"
 	"container/heap"
 	"runtime"
+	"slices"
+	"strings"
 	"time"
 
 	pj "papayajunction"
@@ -18,6 +21,7 @@
 	failDelay      = time.Second // after which a failing worker's task ends
 	decideMost     = 256
 	sampleInterval = time.Second
+	sampleOffset   = 7 * time.Millisecond // so that work which arrives at that very moment doesn't count as waiting
 )
 
 // Policy is a scheduler with what it learns from the ends of tasks.
@@ -159,7 +163,7 @@
 	for at := time.Duration(0); at <= end; at += tick {
 		e.at(at, func() { e.policy.Tick(e.now) })
 	}
-	for at := sampleInterval; at <= end; at += sampleInterval {
+	for at := sampleInterval + sampleOffset; at <= end; at += sampleInterval {
 		e.at(at, e.sample)
 	}
 	e.loop(end)
@@ -303,11 +307,18 @@
 }
 
 func (e *engine) loseWorker(worker string) {
+	var lost []taskKey
 	for key, a := range e.running {
 		if a.worker == worker {
-			e.stopped(key, a)
+			lost = append(lost, key)
 		}
 	}
+	slices.SortFunc(lost, func(a, b taskKey) int {
+		return cmp.Or(strings.Compare(a.job, b.job), cmp.Compare(a.task, b.task))
+	})
+	for _, key := range lost {
+		e.stopped(key, e.running[key])
+	}
 	e.capacity = e.capacity.Sub(e.workers[worker])
 	delete(e.workers, worker)
 	e.policy.RemoveWorker(worker)
