Requests: workspaces beyond their share leave one slot in 32 free

Cause: beside a workspace that sends ten times its share a request waited for some other to end. Change: as for tasks, a workspace beyond its share doesn't take the last slots.

--- a/internal/control/slots/slots.go
+++ b/internal/control/slots/slots.go
@@ -29,6 +29,7 @@
 	deadlineSlack   = 1.5 // how far an expected wait may exceed the deadline before refusal
 	minForForecast  = 8   // waiting requests below which no wait is forecast
 	maxSlotsAllowed = 1024
+	sparePart       = 32 // one slot in sparePart is left free by workspaces beyond their share
 )
 
 // Table is the cell leader's account of endpoints, grants and waiting requests.
@@ -359,6 +360,9 @@
 	if !t.ledger.Allows(l.queue.Workspace, slot) {
 		return false
 	}
+	if !t.ledger.WithinShare(l.queue.Workspace) && !t.spare(now) {
+		return false
+	}
 	name := t.choose(now, l.queue.Name, w.request.Avoid)
 	if name == "" {
 		return false
@@ -368,6 +372,18 @@
 	return true
 }
 
+// spare reports whether enough slots are free for a workspace beyond its share to take one.
+func (t *Table) spare(now time.Duration) bool {
+	slots, used := 0, 0
+	for _, e := range t.endpoints {
+		if e.settled && !e.announced.Leaving && now <= e.until {
+			slots += e.announced.Slots
+			used += e.used + e.unknown
+		}
+	}
+	return slots-used > slots/sparePart
+}
+
 func (t *Table) give(now time.Duration, l *lane, w *waiter, name string) pj.Grant {
 	t.nextID++
 	id := fmt.Sprintf("%d-%d", t.term, t.nextID)
