--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -156,6 +156,12 @@
 	return reply, e
 }
 
+// Raw sends a body as it is to the first VM and returns the status of the answer.
+func (c *Client) Raw(ctx context.Context, method, path string, body []byte) (status int, err error) {
+	reply, err := c.once(ctx, method, "http://"+c.addresses[0]+path, "application/json", body)
+	return reply.Status, err
+}
+
 // Request sends a quick request and returns the endpoint's answer.
 func (c *Client) Request(ctx context.Context, queue string, body []byte) (Reply, error) {
 	return c.tryAll(ctx, http.MethodPost, "/v1/queues/"+url.PathEscape(queue)+"/requests", "application/octet-stream", body, false)
--- a/internal/config/operator/operator.go
+++ b/internal/config/operator/operator.go
@@ -211,6 +211,10 @@
 	if _, err := dec.Token(); err != nil {
 		return nil, o.broken(text, start, dec, err)
 	}
+	if dec.More() {
+		p.report(issueAt(file, lineAt(text, start+int(dec.InputOffset())), "", "something follows the JSON object"))
+		return nil, false
+	}
 	return o, true
 }
 
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -16,6 +16,8 @@
 	heard      bool
 	movedAt    time.Duration // when match last moved or entries were first sent after that
 	snapshotAt time.Duration // when a snapshot was last sent; 0 if none is on its way
+
+	snapshotRound uint64 // the round in which it was sent
 }
 
 // syncPeers makes the progress table fit the membership.
@@ -100,6 +102,7 @@
 		return
 	}
 	p.snapshotAt = max(now, 1)
+	p.snapshotRound = c.round
 	s := c.log.snapshot
 	c.send(pj.PeerMessage{Kind: pj.MessageSnapshot, To: id, Round: c.round, Snapshot: &s})
 }
@@ -163,6 +166,9 @@
 		c.finishReads()
 	}
 	if m.Reject {
+		if m.Round > p.snapshotRound {
+			p.snapshotAt = 0 // what was sent later arrived, so the snapshot was lost
+		}
 		p.next = max(min(p.next-1, m.Index+1), p.match+1)
 		// Not as a heartbeat: a member that waits for a snapshot would reject it again at once.
 		c.sendAppend(now, m.From, p, false)
--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -113,9 +113,9 @@
 	return d.app.Stop()
 }
 
-// Node returns the control side.
-func (d *Daemon) Node() *node.Node {
-	return d.node
+// Active returns the number of HTTP requests in flight.
+func (d *Daemon) Active() int64 {
+	return d.api.Active()
 }
 
 // drain is called before the server closes: the balancer is told, leaderships are handed over, and
