TLS for callers, workers and endpoints; cancelled requests cost the same however many wait

Cause: with TLS set the daemon spoke TLS only and no client of ours could; Abandon searched all waiting requests. Error types of gravitational/trace where parameters are read.

--- a/errors.go
+++ b/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"github.com/gravitational/trace"
 )
 
 // Code names an error for programs; it stays the same between releases.
@@ -100,11 +102,17 @@
 	}
 }
 
-// AsError returns err as an *Error; anything else becomes an internal error that may have run.
+// AsError returns err as an *Error. Errors of the trace types that are made before anything is run
+// keep their meaning; anything else becomes an internal error that may have run.
 func AsError(err error) *Error {
 	var e *Error
-	if errors.As(err, &e) {
+	switch {
+	case errors.As(err, &e):
 		return e
+	case trace.IsBadParameter(err):
+		return Refuse(CodeBadRequest, "%s", err.Error())
+	case trace.IsLimitExceeded(err):
+		return Refuse(CodeOverloaded, "%s", err.Error())
 	}
 	return Fail(CodeInternal, "%s", err.Error())
 }
--- a/internal/client/command/burst.go
+++ b/internal/client/command/burst.go
@@ -64,7 +64,7 @@
 	var done sync.WaitGroup
 	for i := range max(b.parallel, 1) {
 		own := slices.Concat(addresses[i%len(addresses):], addresses[:i%len(addresses)])
-		client, closeClient := entry.New(own, b.app.key)
+		client, closeClient := entry.New(own, b.app.key, entry.WithTLS(b.app.tlsConfig()))
 		defer closeClient()
 		done.Add(1)
 		go func() {
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"flag"
@@ -16,6 +17,8 @@
 
 	pj "papayajunction"
 	"papayajunction/internal/client/entry"
+	"papayajunction/internal/config/settings"
+	"papayajunction/internal/server/peer"
 )
 
 // Exit codes of the client.
@@ -42,6 +45,7 @@
 	entries string
 	key     string
 	output  string
+	tls     settings.Settings // only its TLS files are used
 }
 
 // New returns an app that writes to out and err.
@@ -141,6 +145,9 @@
 	fs.StringVar(&a.entries, "entry", defaultEntry, "addresses of entry VMs or of their balancer, separated by commas")
 	fs.StringVar(&a.key, "key", "", "key of the workspace, or operator key for operators' commands")
 	fs.StringVar(&a.output, "output", "text", "text or json")
+	fs.StringVar(&a.tls.TLSCA, "tls_ca", "", "PEM file with the authority of the VMs' certificates; without it plain HTTP is used")
+	fs.StringVar(&a.tls.TLSCert, "tls_cert", "", "PEM file with a certificate of that authority")
+	fs.StringVar(&a.tls.TLSKey, "tls_key", "", "PEM file with its private key")
 	for _, add := range more {
 		add(fs)
 	}
@@ -156,7 +163,16 @@
 }
 
 func (a *App) client() (*entry.Client, func()) {
-	return entry.New(strings.Split(a.entries, ","), a.key)
+	return entry.New(strings.Split(a.entries, ","), a.key, entry.WithTLS(a.tlsConfig()))
+}
+
+// tlsConfig returns nil for plain HTTP. Files that can't be read show when the first call fails.
+func (a *App) tlsConfig() *tls.Config {
+	config, err := peer.TLS(a.tls)
+	if err != nil {
+		a.printError(err)
+	}
+	return config
 }
 
 // one returns the only argument of a command.
--- a/internal/client/command/standin.go
+++ b/internal/client/command/standin.go
@@ -31,6 +31,7 @@
 				return err
 			}
 			o.VMs = s.VMs
+			o.TLS = a.tlsConfig()
 			o.Capacity = pj.NewResources(cores, memory, 0, 0)
 			f, closeFleet, err := fleet.New(o)
 			if err != nil {
--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,24 +30,41 @@
 type Client struct {
 	addresses []string
 	key       string
+	scheme    string
 	http      *http.Client
 	at        atomic.Uint64
 }
 
+// Option changes a Client at its construction.
+type Option func(*Client, *http.Transport)
+
+// WithTLS makes the client speak TLS with the given configuration; nil changes nothing.
+func WithTLS(config *tls.Config) Option {
+	return func(c *Client, t *http.Transport) {
+		if config != nil {
+			c.scheme = "https://"
+			t.TLSClientConfig = config.Clone()
+		}
+	}
+}
+
 // New returns a client for the entry VMs at the given addresses (IP and port) and a function that
 // closes its connections. The key may be empty.
-func New(addresses []string, key string) (*Client, func()) {
+func New(addresses []string, key string, options ...Option) (*Client, func()) {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idlePerVM,
 	}
-	c := &Client{addresses: addresses, key: key, http: &http.Client{Transport: transport}}
+	c := &Client{addresses: addresses, key: key, scheme: "http://", http: &http.Client{Transport: transport}}
+	for _, option := range options {
+		option(c, transport)
+	}
 	return c, transport.CloseIdleConnections
 }
 
 // WithKey returns a client that shares the connections and sends another key.
 func (c *Client) WithKey(key string) *Client {
-	return &Client{addresses: c.addresses, key: key, http: c.http}
+	return &Client{addresses: c.addresses, key: key, scheme: c.scheme, http: c.http}
 }
 
 // Reply is an answer with its headers.
@@ -88,7 +106,7 @@
 			break
 		}
 		address := c.addresses[c.at.Load()%uint64(len(c.addresses))]
-		reply, err := c.once(ctx, method, "http://"+address+path, contentType, body)
+		reply, err := c.once(ctx, method, c.scheme+address+path, contentType, body)
 		if err == nil {
 			return reply, nil
 		}
@@ -158,7 +176,7 @@
 
 // Raw sends a body as it is to the first VM and returns the status of the answer.
 func (c *Client) Raw(ctx context.Context, method, path string, body []byte) (status int, err error) {
-	reply, err := c.once(ctx, method, "http://"+c.addresses[0]+path, "application/json", body)
+	reply, err := c.once(ctx, method, c.scheme+c.addresses[0]+path, "application/json", body)
 	return reply.Status, err
 }
 
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3"
 
 	"papayajunction/internal/config/topology"
@@ -98,7 +99,7 @@
 // one.
 func (s *Settings) Check() error {
 	var faults []error
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	fault := func(format string, args ...any) { faults = append(faults, trace.BadParameter(format, args...)) }
 	if _, err := netip.ParseAddrPort(s.Listen); err != nil {
 		fault("listen: %q is not an IP and port such as 127.0.0.1:7100", s.Listen)
 	}
@@ -122,11 +123,11 @@
 	at := slices.IndexFunc(s.VMs, func(vm topology.VM) bool { return vm.Name == s.VM })
 	switch {
 	case at < 0:
-		return []error{fmt.Errorf("vms: this VM %q is not in the list", s.VM)}
+		return []error{trace.BadParameter("vms: this VM %q is not in the list", s.VM)}
 	case s.VMs[at].Zone != s.Zone:
-		return []error{fmt.Errorf("zone: is %q and the list of VMs says %q", s.Zone, s.VMs[at].Zone)}
+		return []error{trace.BadParameter("zone: is %q and the list of VMs says %q", s.Zone, s.VMs[at].Zone)}
 	case s.VMs[at].Replica && s.DataDir == "" && len(s.VMs) > 1:
-		return []error{errors.New("data_dir: must be set on a VM that is a replica")}
+		return []error{trace.BadParameter("data_dir: must be set on a VM that is a replica")}
 	}
 	return nil
 }
@@ -134,10 +135,10 @@
 func (s *Settings) checkTLS() []error {
 	set := countSet(s.TLSCert, s.TLSKey, s.TLSCA)
 	if set != 0 && set != 3 {
-		return []error{errors.New("tls_cert, tls_key and tls_ca must be set together")}
+		return []error{trace.BadParameter("tls_cert, tls_key and tls_ca must be set together")}
 	}
 	if set == 0 && !allLoopback(s.VMs) {
-		return []error{errors.New("tls_cert, tls_key and tls_ca must be set unless all VMs are on loopback addresses")}
+		return []error{trace.BadParameter("tls_cert, tls_key and tls_ca must be set unless all VMs are on loopback addresses")}
 	}
 	return nil
 }
@@ -147,14 +148,14 @@
 	names := make(map[string]struct{})
 	for _, vm := range vms {
 		if _, twice := names[vm.Name]; twice {
-			faults = append(faults, fmt.Errorf("vms: %q stands twice", vm.Name))
+			faults = append(faults, trace.BadParameter("vms: %q stands twice", vm.Name))
 		}
 		names[vm.Name] = struct{}{}
 		if _, err := netip.ParseAddrPort(vm.Address); err != nil {
-			faults = append(faults, fmt.Errorf("vms: address %q of %q is not an IP and port", vm.Address, vm.Name))
+			faults = append(faults, trace.BadParameter("vms: address %q of %q is not an IP and port", vm.Address, vm.Name))
 		}
 		if vm.Name == "" || vm.Zone == "" || strings.ContainsAny(vm.Name, "/ ") {
-			faults = append(faults, fmt.Errorf("vms: %q in zone %q needs a name without / and a zone", vm.Name, vm.Zone))
+			faults = append(faults, trace.BadParameter("vms: %q in zone %q needs a name without / and a zone", vm.Name, vm.Zone))
 		}
 	}
 	return faults
@@ -205,7 +206,7 @@
 	for _, part := range strings.Split(text, ",") {
 		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
 		if !found {
-			return vm, fmt.Errorf("%q is not like name=value", part)
+			return vm, trace.BadParameter("%q is not like name=value", part)
 		}
 		switch name {
 		case "name":
@@ -219,11 +220,11 @@
 		case "replica":
 			replica, err := strconv.ParseBool(value)
 			if err != nil {
-				return vm, fmt.Errorf("replica of a VM must be true or false, not %q", value)
+				return vm, trace.BadParameter("replica of a VM must be true or false, not %q", value)
 			}
 			vm.Replica = replica
 		default:
-			return vm, fmt.Errorf("%q is not one of name, zone, region, address, replica", name)
+			return vm, trace.BadParameter("%q is not one of name, zone, region, address, replica", name)
 		}
 	}
 	return vm, nil
--- a/internal/control/slots/slots.go
+++ b/internal/control/slots/slots.go
@@ -40,6 +40,8 @@
 	names      []string
 	lanes      map[string]*lane // by queue
 	grants     map[string]*grant
+	byRequest  map[string]*waiter // waiting requests
+	granted    map[string]string  // request to grant
 	fenceUntil time.Duration
 	term       uint64
 	nextID     uint64
@@ -68,7 +70,8 @@
 
 type lane struct {
 	queue    pj.Queue
-	waiting  []*waiter
+	waiting  []*waiter // with some that are done
+	live     int
 	latency  time.Duration
 	inFlight int
 }
@@ -88,6 +91,8 @@
 		endpoints:  make(map[string]*endpoint),
 		lanes:      make(map[string]*lane),
 		grants:     make(map[string]*grant),
+		byRequest:  make(map[string]*waiter),
+		granted:    make(map[string]string),
 		fenceUntil: now + grantFence,
 	}
 }
@@ -139,8 +144,8 @@
 		reply(pj.Grant{}, pj.Refuse(pj.CodeNoEndpoint, "no endpoint in this zone serves queue %s", q.Name))
 		return
 	}
-	if len(l.waiting) >= max(q.MaxWaiting, 1) {
-		reply(pj.Grant{}, overloaded("queue %s has %d requests waiting already", q.Name, len(l.waiting)))
+	if l.live >= max(q.MaxWaiting, 1) {
+		reply(pj.Grant{}, overloaded("queue %s has %d requests waiting already", q.Name, l.live))
 		return
 	}
 	wait := time.Duration(r.WaitMS) * time.Millisecond
@@ -148,7 +153,10 @@
 		reply(pj.Grant{}, overloaded("queue %s would keep this request waiting for about %v", q.Name, forecast.Round(time.Millisecond)))
 		return
 	}
-	l.waiting = append(l.waiting, &waiter{request: r, arrived: now, deadline: now + wait, reply: reply})
+	w := &waiter{request: r, arrived: now, deadline: now + wait, reply: reply}
+	l.waiting = append(l.waiting, w)
+	l.live++
+	t.byRequest[r.Request] = w
 	t.Pump(now)
 }
 
@@ -160,7 +168,7 @@
 
 // forecast returns how long a request that joins the lane now would probably wait.
 func (t *Table) forecast(now time.Duration, l *lane) time.Duration {
-	if len(l.waiting) < minForForecast || l.latency == 0 {
+	if l.live < minForForecast || l.latency == 0 {
 		return 0
 	}
 	slots := 0
@@ -170,7 +178,7 @@
 		}
 	}
 	slots = min(slots, int(max(t.ledger.Limit(l.queue.Workspace)[pj.Slots], 1)))
-	return l.latency * time.Duration(len(l.waiting)+1) / time.Duration(max(slots, 1))
+	return l.latency * time.Duration(l.live+1) / time.Duration(max(slots, 1))
 }
 
 func (t *Table) lane(q pj.Queue) *lane {
@@ -210,30 +218,38 @@
 // Abandon drops a waiting request whose caller has gone, and takes back a grant that the caller
 // never learned of.
 func (t *Table) Abandon(now time.Duration, queue, request string) {
-	l := t.lanes[queue]
-	if l == nil {
+	if w := t.byRequest[request]; w != nil && w.request.Queue == queue {
+		t.finish(w, pj.Grant{}, pj.Refuse(pj.CodeDeadline, "the caller has gone"))
 		return
 	}
-	for i, w := range l.waiting {
-		if w.request.Request == request {
-			l.waiting = slices.Delete(l.waiting, i, i+1)
-			w.finish(pj.Grant{}, pj.Refuse(pj.CodeDeadline, "the caller has gone"))
-			return
-		}
+	if id, ok := t.granted[request]; ok {
+		t.Release(now, pj.GrantRelease{ID: id})
 	}
-	for id, g := range t.grants {
-		if g.request.Request == request {
-			t.Release(now, pj.GrantRelease{ID: id})
-			return
-		}
+}
+
+// finish ends a request's wait; its lane skips it later.
+func (t *Table) finish(w *waiter, g pj.Grant, err error) {
+	if w.done {
+		return
+	}
+	w.done = true
+	delete(t.byRequest, w.request.Request)
+	if l := t.lanes[w.request.Queue]; l != nil {
+		l.live--
 	}
+	w.reply(g, err)
 }
 
-func (w *waiter) finish(g pj.Grant, err error) {
-	if !w.done {
-		w.done = true
-		w.reply(g, err)
+// first returns the request that has waited longest, or nil.
+func (l *lane) first() *waiter {
+	for len(l.waiting) > 0 && l.waiting[0].done {
+		l.waiting[0] = nil
+		l.waiting = l.waiting[1:]
 	}
+	if len(l.waiting) == 0 {
+		return nil
+	}
+	return l.waiting[0]
 }
 
 // Release gives a slot back.
@@ -255,6 +271,9 @@
 
 func (t *Table) drop(id string, g *grant) {
 	delete(t.grants, id)
+	if t.granted[g.request.Request] == id {
+		delete(t.granted, g.request.Request)
+	}
 	t.ledger.Refund(g.workspace, pj.Resources{pj.Slots: 1})
 	if e := t.endpoints[g.endpoint]; e != nil {
 		e.used--
@@ -291,13 +310,11 @@
 // Tick ends what has run out: waiting requests, announcements, grants that were never given back.
 func (t *Table) Tick(now time.Duration) {
 	for _, l := range t.lanes {
-		l.waiting = slices.DeleteFunc(l.waiting, func(w *waiter) bool {
-			if now < w.deadline {
-				return false
+		for _, w := range l.waiting {
+			if now >= w.deadline {
+				t.finish(w, pj.Grant{}, pj.Refuse(pj.CodeDeadline, "no slot became free within the time limit"))
 			}
-			w.finish(pj.Grant{}, pj.Refuse(pj.CodeDeadline, "no slot became free within the time limit"))
-			return true
-		})
+		}
 	}
 	for id, g := range t.grants {
 		if now > g.until {
@@ -335,7 +352,7 @@
 func (t *Table) nextLane(skipped map[*lane]struct{}) *lane {
 	var best *lane
 	for _, l := range t.lanes {
-		if _, skip := skipped[l]; skip || len(l.waiting) == 0 {
+		if _, skip := skipped[l]; skip || l.first() == nil {
 			continue
 		}
 		if best == nil || t.before(l, best) {
@@ -355,7 +372,7 @@
 }
 
 func (t *Table) grantFirst(now time.Duration, l *lane) bool {
-	w := l.waiting[0]
+	w := l.first()
 	slot := pj.Resources{pj.Slots: int64(1 + t.unknown)}
 	if !t.ledger.Allows(l.queue.Workspace, slot) {
 		return false
@@ -367,8 +384,7 @@
 	if name == "" {
 		return false
 	}
-	l.waiting = l.waiting[1:]
-	w.finish(t.give(now, l, w, name), nil)
+	t.finish(w, t.give(now, l, w, name), nil)
 	return true
 }
 
@@ -391,6 +407,7 @@
 	e.used++
 	l.inFlight++
 	t.ledger.Charge(l.queue.Workspace, pj.Resources{pj.Slots: 1})
+	t.granted[w.request.Request] = id
 	t.grants[id] = &grant{
 		request: w.request, endpoint: name, workspace: l.queue.Workspace,
 		until: w.deadline + holdMargin,
@@ -470,7 +487,7 @@
 func (t *Table) Waiting(visit func(q pj.Queue, waiting, running int)) {
 	for _, name := range slices.Sorted(maps.Keys(t.lanes)) {
 		l := t.lanes[name]
-		visit(l.queue, len(l.waiting), l.inFlight)
+		visit(l.queue, l.live, l.inFlight)
 	}
 }
 
@@ -499,7 +516,7 @@
 func (t *Table) Fail(err error) {
 	for _, l := range t.lanes {
 		for _, w := range l.waiting {
-			w.finish(pj.Grant{}, err)
+			t.finish(w, pj.Grant{}, err)
 		}
 		l.waiting = nil
 	}
--- a/internal/replay/trace/generate.go
+++ b/internal/replay/trace/generate.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	pj "papayajunction"
 )
 
@@ -72,7 +74,7 @@
 	case "zone_lost":
 		g.zoneLost()
 	default:
-		return nil, fmt.Errorf("trace %q is not one of %v", name, Names())
+		return nil, trace.NotFound("trace %q is not one of %v", name, Names())
 	}
 	slices.SortStableFunc(g.events, func(a, b Event) int { return int(min(max(a.At-b.At, -1), 1)) })
 	return g.events, nil
--- /dev/null
+++ b/internal/server/daemon/tls_test.go
@@ -0,0 +1,130 @@
+package daemon_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	pj "papayajunction"
+	"papayajunction/internal/client/entry"
+	"papayajunction/internal/config/settings"
+	"papayajunction/internal/config/topology"
+	"papayajunction/internal/server/daemon"
+	"papayajunction/internal/server/peer"
+)
+
+// writeCertificates makes an authority and a certificate for 127.0.0.1 and returns the settings.
+func writeCertificates(t *testing.T) settings.Settings {
+	t.Helper()
+	is := is.New(t)
+	folder := t.TempDir()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	authority := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	signed, err := x509.CreateCertificate(rand.Reader, authority, authority, &key.PublicKey, key)
+	is.NoErr(err)
+	vm := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "vm"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, vm, authority, &key.PublicKey, key)
+	is.NoErr(err)
+	private, err := x509.MarshalECPrivateKey(key)
+	is.NoErr(err)
+	write := func(name, kind string, data []byte) string {
+		path := filepath.Join(folder, name)
+		is.NoErr(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+		return path
+	}
+	s := settings.Default()
+	s.TLSCA = write("ca.pem", "CERTIFICATE", signed)
+	s.TLSCert = write("vm.pem", "CERTIFICATE", certificate)
+	s.TLSKey = write("vm.key", "EC PRIVATE KEY", private)
+	return s
+}
+
+// startPair starts two VMs of one zone that identify themselves to each other.
+func startPair(t *testing.T, base settings.Settings) []topology.VM {
+	t.Helper()
+	is := is.New(t)
+	var vms []topology.VM
+	for i := range 2 {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		vms = append(vms, topology.VM{Name: fmt.Sprint("vm-", i), Zone: "zone-1", Address: l.Addr().String(), Replica: true})
+		is.NoErr(l.Close())
+	}
+	for _, vm := range vms {
+		s := base
+		s.VM, s.Listen, s.DataDir, s.VMs, s.Quiet, s.MemoryLimit = vm.Name, vm.Address, t.TempDir(), vms, true, 0
+		is.NoErr(s.Check())
+		d, cleanup, err := daemon.New(s, daemon.NewLogger(t.Output(), s))
+		is.NoErr(err)
+		go func() { _ = d.Run() }()
+		t.Cleanup(func() {
+			_ = d.Stop()
+			cleanup()
+		})
+	}
+	return vms
+}
+
+// TestIdentification checks that VMs which identify themselves form a group, and that nobody else
+// is heard as a VM, a worker or an endpoint.
+func TestIdentification(t *testing.T) {
+	is := is.New(t)
+	base := writeCertificates(t)
+	vms := startPair(t, base)
+	identified, err := peer.TLS(base)
+	is.NoErr(err)
+	s := &system{}
+	client, closeClient := entry.New([]string{vms[0].Address, vms[1].Address}, "", entry.WithTLS(identified))
+	defer closeClient()
+	s.until(t, func() error {
+		_, err := client.Publish(context.Background(), pj.Publication{Files: files})
+		return err
+	})
+	anonymous := identified.Clone()
+	anonymous.Certificates = nil
+	tests := map[string]struct {
+		config *tls.Config
+		path   string
+		body   string
+		status int
+	}{
+		"a call between VMs without a certificate":   {anonymous, "/papayajunction.peer.v1.PeerService/Call", `{"operation": "hello"}`, http.StatusForbidden},
+		"a worker's report without a certificate":    {anonymous, "/v1/workers/w/report", `{"worker": "w"}`, http.StatusForbidden},
+		"an announcement without a certificate":      {anonymous, "/v1/endpoints", `{}`, http.StatusForbidden},
+		"a report with a certificate is read":        {identified, "/v1/workers/w/report", `{"worker": "w", "zone": "zone-1"}`, http.StatusBadRequest},
+		"a request to an open queue needs none":      {anonymous, "/v1/queues/none/requests", ``, http.StatusNotFound},
+		"a call between VMs with a certificate runs": {identified, "/papayajunction.peer.v1.PeerService/Call", `{"operation": "none"}`, http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, closeC := entry.New([]string{vms[0].Address}, "", entry.WithTLS(test.config))
+			defer closeC()
+			status, _ := c.Raw(context.Background(), http.MethodPost, test.path, []byte(test.body))
+			is.Equal(status, test.status)
+		})
+	}
+}
--- a/internal/server/peer/client.go
+++ b/internal/server/peer/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +12,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"papayajunction/internal/config/settings"
 )
 
@@ -25,14 +26,18 @@
 )
 
 // TLS returns the configuration with which VMs identify themselves to each other, or nil for plain
-// connections on loopback addresses.
+// connections on loopback addresses. Clients may leave out the certificate.
 func TLS(s settings.Settings) (*tls.Config, error) {
-	if s.TLSCert == "" {
+	if s.TLSCA == "" {
 		return nil, nil //nolint:nilnil // no TLS is a valid setting, not a missing value
 	}
-	cert, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey)
-	if err != nil {
-		return nil, fmt.Errorf("load certificate: %w", err)
+	var certs []tls.Certificate
+	if s.TLSCert != "" {
+		cert, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey)
+		if err != nil {
+			return nil, fmt.Errorf("load certificate: %w", err)
+		}
+		certs = append(certs, cert)
 	}
 	pem, err := os.ReadFile(filepath.Clean(s.TLSCA))
 	if err != nil {
@@ -40,10 +45,10 @@
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.New("the file of the certificate authority holds no certificate")
+		return nil, trace.BadParameter("%s holds no certificate of an authority", s.TLSCA)
 	}
 	return &tls.Config{
-		Certificates: []tls.Certificate{cert},
+		Certificates: certs,
 		RootCAs:      pool,
 		ClientCAs:    pool,
 		ClientAuth:   tls.VerifyClientCertIfGiven,
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -33,6 +34,7 @@
 	LostRate     float64
 	Silent       bool
 	Seed         uint64
+	TLS          *tls.Config // nil for plain HTTP
 }
 
 // Fleet is a set of running stand-ins.
@@ -108,7 +110,7 @@
 			Incarnation: fmt.Sprintf("%d-%d", time.Now().UnixNano(), i), Capacity: capacity, Run: o.Run,
 			FailRate: o.FailRate, Random: random(o.Seed, name), Tally: &f.tally,
 		})
-		client, closeClient := entry.New(addresses(o.VMs, zone), "")
+		client, closeClient := entry.New(addresses(o.VMs, zone), "", entry.WithTLS(o.TLS))
 		closers = append(closers, closeClient)
 		f.done.Add(1)
 		go func() {
@@ -129,7 +131,7 @@
 
 func (f *Fleet) startRunners(ctx context.Context, o Options, zone string) (func(), error) {
 	var closers []func()
-	client, closeClient := entry.New(addresses(o.VMs, zone), "")
+	client, closeClient := entry.New(addresses(o.VMs, zone), "", entry.WithTLS(o.TLS))
 	closers = append(closers, closeClient)
 	for i := range o.Runners {
 		name := fmt.Sprintf("%s-runner-%02d", zone, i+1)
