--- /dev/null
+++ b/internal/control/scheduler/gang.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"time"
+
+	pj "papayajunction"
+)
+
+// startGang starts all pending tasks of a gang or none, in one rack if they fit.
+func (s *Scheduler) startGang(now time.Duration, e *entry, plan *pj.Plan) bool {
+	held := e.reservation
+	s.unhold(held)
+	workers, ok := s.placeGang(e)
+	if !ok {
+		s.hold(held)
+		return false
+	}
+	s.forgetReservation(held)
+	for _, worker := range workers {
+		s.start(now, e, worker, plan)
+	}
+	return true
+}
+
+// placeGang returns a worker for each pending task, or false if not all fit at once.
+func (s *Scheduler) placeGang(e *entry) ([]string, bool) {
+	shape := s.shape(e)
+	shape.Kind = pj.KindGang
+	best := ""
+	bestRoom := 0
+	s.index.Racks(func(rack string, workers []string) {
+		room := 0
+		for _, w := range workers {
+			if s.index.Usable(w) {
+				room += times(s.index.Free(w), shape.Amount)
+			}
+		}
+		if room >= len(e.pending) && (best == "" || room < bestRoom) {
+			best, bestRoom = rack, room
+		}
+	})
+	if best != "" {
+		shape.Rack = best
+		if workers, ok := s.placeAll(shape, len(e.pending)); ok {
+			return workers, true
+		}
+	}
+	shape.Rack = ""
+	return s.placeAll(shape, len(e.pending))
+}
+
+// placeAll places n equal tasks and leaves the account as it was.
+func (s *Scheduler) placeAll(shape pj.Shape, n int) ([]string, bool) {
+	workers := make([]string, 0, n)
+	for len(workers) < n {
+		w, ok := s.index.Place(shape)
+		if !ok {
+			break
+		}
+		s.index.Reserve(w, shape.Amount)
+		workers = append(workers, w)
+	}
+	for _, w := range workers {
+		s.index.Release(w, shape.Amount)
+	}
+	return workers, len(workers) == n
+}
