Scheduler: contract tests for each class; backfill gives way as soon as its owner could start

Cause: TestDecisions, 'small work doesn't push a waiting gang back': when running work ended before it was expected to, backfilled tasks kept the gang waiting until the planned time. Short work of a workspace beyond its share filled nothing in. Change: backfilled tasks give way once nothing else is in the gang's way; leaving room free doesn't apply to backfill.

--- a/internal/control/scheduler/next.go
+++ b/internal/control/scheduler/next.go
@@ -80,16 +80,12 @@
 	}
 	l.spared = !s.ledger.WithinShare(e.job.Workspace) && !s.index.Spare(needed, sparePart)
 	if l.spared {
-		s.block(l, blockedByFit)
+		if e.job.Kind == pj.KindGang || !s.startBackfilled(now, e, plan) {
+			s.block(l, blockedByFit)
+		}
 		return
 	}
-	started := false
-	if e.job.Kind == pj.KindGang {
-		started = s.startGang(now, e, plan)
-	} else {
-		started = s.startOne(now, e, plan)
-	}
-	if started {
+	if s.startAny(now, e, plan) {
 		s.refreshLane(l)
 		return
 	}
@@ -97,6 +93,13 @@
 	s.whenBlocked(now, e, plan)
 }
 
+func (s *Scheduler) startAny(now time.Duration, e *entry, plan *pj.Plan) bool {
+	if e.job.Kind == pj.KindGang {
+		return s.startGang(now, e, plan)
+	}
+	return s.startOne(now, e, plan)
+}
+
 // whenBlocked makes room for work that can't wait: urgent work preempts, gangs reserve, and so does
 // a workspace that is further below its share than the task would lift it.
 func (s *Scheduler) whenBlocked(now time.Duration, e *entry, plan *pj.Plan) {
--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -268,7 +268,7 @@
 	}
 	s.reviewedAt = now
 	for _, r := range slices.Clone(s.reservations) {
-		if s.backfilled > 0 && now > r.due+backfillTolerance {
+		if s.backfilled > 0 && (now > r.due+backfillTolerance || s.onlyBackfilledInTheWay(r)) {
 			s.evictBackfilled(r, plan)
 		}
 		if now > max(r.made+reservationLasts, r.due+reservationLasts) {
@@ -279,6 +279,23 @@
 	}
 }
 
+// onlyBackfilledInTheWay reports whether all room of a reservation would be free if no backfilled
+// task were there.
+func (s *Scheduler) onlyBackfilledInTheWay(r *reservation) bool {
+	for w, amount := range r.holds {
+		room := s.index.Unreserved(w)
+		for _, t := range s.onWorker[w] {
+			if t.backfilled {
+				room = room.Add(t.reservation)
+			}
+		}
+		if !amount.Fits(room) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Scheduler) evictBackfilled(r *reservation, plan *pj.Plan) {
 	for _, w := range r.workers() {
 		tasks := slices.SortedFunc(maps.Values(s.onWorker[w]), func(a, b *running) int { return a.key.compare(b.key) })
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -349,12 +349,18 @@
 		s.start(now, e, worker, plan)
 		return true
 	}
-	if worker, ok := s.backfill(now, e, shape); ok {
-		s.start(now, e, worker, plan).backfilled = true
-		s.backfilled++
-		return true
+	return s.startBackfilled(now, e, plan)
+}
+
+// startBackfilled starts the next task on room that is kept for other work, if it will end in time.
+func (s *Scheduler) startBackfilled(now time.Duration, e *entry, plan *pj.Plan) bool {
+	worker, ok := s.backfill(now, e, s.shape(e))
+	if !ok {
+		return false
 	}
-	return false
+	s.start(now, e, worker, plan).backfilled = true
+	s.backfilled++
+	return true
 }
 
 func (s *Scheduler) start(now time.Duration, e *entry, worker string, plan *pj.Plan) *running {
--- /dev/null
+++ b/internal/control/scheduler/scheduler_test.go
@@ -0,0 +1,271 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/blame"
+	"papayajunction/internal/control/estimate"
+	"papayajunction/internal/control/scheduler"
+)
+
+// cellOf is a small cell with what was decided in it.
+type cellOf struct {
+	s     *scheduler.Scheduler
+	blame *blame.Record
+	now   time.Duration
+	plan  pj.Plan
+	jobs  map[string]*pj.Job
+}
+
+var all = pj.NewResources(1000, 1000, 100, 0)
+
+// newCell returns workers of 8 cores in racks of two; those in special have 2 accelerators each.
+func newCell(workers, special int) *cellOf {
+	c := &cellOf{blame: blame.New(), now: time.Hour, jobs: make(map[string]*pj.Job)}
+	c.s = scheduler.New(scheduler.WithEstimator(estimate.New()), scheduler.WithAvoid(c.blame.Avoid))
+	var total pj.Resources
+	for i := range workers {
+		capacity := pj.NewResources(8, 16, 0, 0)
+		if i < special {
+			capacity[pj.Accelerators] = 2
+		}
+		total = total.Add(capacity)
+		c.s.SetWorker(pj.Worker{Name: fmt.Sprint("w", i), Rack: fmt.Sprint("r", i/2), Capacity: capacity})
+	}
+	c.s.SetFleetCapacity(total)
+	for _, name := range []string{"a", "b"} {
+		c.s.SetWorkspace(name, 1, all)
+	}
+	return c
+}
+
+func (c *cellOf) submit(id, workspace string, kind pj.Kind, urgency pj.Urgency, tasks int, task pj.Resources) {
+	job := &pj.Job{
+		ID: id, Workspace: workspace, Queue: workspace + string(kind), Kind: kind, Urgency: urgency, Repeatable: true,
+		Tasks: tasks, Task: task, RunTime: pj.Duration(time.Minute),
+	}
+	c.jobs[id] = job
+	pending := make([]int, tasks)
+	for i := range pending {
+		pending[i] = i
+	}
+	c.s.Submit(c.now, pj.Work{Job: job, Pending: pending, Since: c.now})
+	c.decide()
+}
+
+func (c *cellOf) decide() {
+	plan := c.s.Next(c.now, 256)
+	c.plan.Starts = append(c.plan.Starts, plan.Starts...)
+	c.plan.Preempts = append(c.plan.Preempts, plan.Preempts...)
+}
+
+// pass lets time pass in steps of a second.
+func (c *cellOf) pass(seconds int) {
+	for range seconds {
+		c.now += time.Second
+		c.decide()
+	}
+}
+
+// fill takes all workers: workspace a has 28 of 32 cores and b the rest.
+func (c *cellOf) fill() {
+	c.submit("busy", "a", pj.KindBatch, pj.Normal, 7, four)
+	c.submit("rest", "b", pj.KindBatch, pj.Normal, 1, four)
+}
+
+// starts returns where a job's tasks started.
+func (c *cellOf) starts(job string) []string {
+	var workers []string
+	for _, st := range c.plan.Starts {
+		if st.Job == job {
+			workers = append(workers, st.Worker)
+		}
+	}
+	return workers
+}
+
+// giveWay ends what was told to give way and lets it wait again.
+func (c *cellOf) giveWay() {
+	for _, p := range c.plan.Preempts {
+		c.s.Ended(c.now, p.Job, p.Task)
+		c.s.Submit(c.now, pj.Work{Job: c.jobs[p.Job], Pending: []int{p.Task}, Since: c.now})
+	}
+	c.plan.Preempts = nil
+	c.decide()
+}
+
+func distinct(names []string) int {
+	set := make(map[string]struct{})
+	for _, n := range names {
+		set[n] = struct{}{}
+	}
+	return len(set)
+}
+
+var (
+	two  = pj.NewResources(2, 2, 0, 0)
+	four = pj.NewResources(4, 4, 0, 0)
+	full = pj.NewResources(8, 8, 0, 0)
+)
+
+// TestDecisions holds what each class of work may expect.
+func TestDecisions(t *testing.T) {
+	tests := map[string]func(is *is.I, c *cellOf){
+		"batch work packs tightly": func(is *is.I, c *cellOf) {
+			c.submit("j", "a", pj.KindBatch, pj.Normal, 4, two)
+			is.Equal(distinct(c.starts("j")), 1)
+		},
+		"services spread over racks": func(is *is.I, c *cellOf) {
+			c.submit("j", "a", pj.KindService, pj.Normal, 2, two)
+			workers := c.starts("j")
+			is.Equal(len(workers), 2)
+			is.True(c.s.Index().Rack(workers[0]) != c.s.Index().Rack(workers[1]))
+		},
+		"a gang starts all or none": func(is *is.I, c *cellOf) {
+			c.submit("busy", "a", pj.KindBatch, pj.Normal, 3, full)
+			c.submit("gang", "b", pj.KindGang, pj.Normal, 2, full)
+			is.Equal(len(c.starts("gang")), 0)
+			c.s.Ended(c.now, "busy", 0)
+			c.decide()
+			is.Equal(len(c.starts("gang")), 2)
+		},
+		"a gang starts in one rack if it fits": func(is *is.I, c *cellOf) {
+			c.submit("j", "a", pj.KindBatch, pj.Normal, 1, two)
+			c.submit("gang", "b", pj.KindGang, pj.Normal, 2, full)
+			workers := c.starts("gang")
+			is.Equal(c.s.Index().Rack(workers[0]), c.s.Index().Rack(workers[1]))
+		},
+		"small work doesn't push a waiting gang back": func(is *is.I, c *cellOf) {
+			c.submit("busy", "a", pj.KindBatch, pj.Normal, 4, full)
+			c.submit("gang", "b", pj.KindGang, pj.Normal, 4, full)
+			for i := range 4 {
+				c.submit(fmt.Sprint("small", i), "a", pj.KindBatch, pj.Normal, 1, two)
+				c.s.Ended(c.now, "busy", i)
+				c.pass(1)
+			}
+			c.pass(1)
+			c.giveWay() // what had filled in makes way as soon as the gang could start
+			is.Equal(len(c.starts("gang")), 4)
+		},
+		"short work fills in before a gang": func(is *is.I, c *cellOf) {
+			c.submit("busy", "a", pj.KindBatch, pj.Normal, 3, full)
+			c.submit("gang", "b", pj.KindGang, pj.Normal, 4, full)
+			job := &pj.Job{ID: "short", Workspace: "a", Queue: "short", Kind: pj.KindBatch, Repeatable: true, Tasks: 1, Task: two, RunTime: pj.Duration(time.Second)}
+			c.s.Submit(c.now, pj.Work{Job: job, Pending: []int{0}, Since: c.now})
+			c.decide()
+			is.Equal(len(c.starts("short")), 1)
+		},
+		"urgent work preempts on a full fleet, once": func(is *is.I, c *cellOf) {
+			c.fill()
+			c.pass(20)
+			c.plan.Preempts = nil
+			c.submit("quick", "b", pj.KindBatch, pj.Urgent, 1, four)
+			is.Equal(len(c.plan.Preempts), 1)
+			c.pass(3) // the victim has not stopped yet; no further one is chosen
+			is.Equal(len(c.plan.Preempts), 1)
+			c.giveWay()
+			is.Equal(len(c.starts("quick")), 1)
+			is.Equal(len(c.starts("busy")), 7) // the victim waits and preempts nothing in turn
+			c.pass(3)
+			is.Equal(len(c.plan.Preempts), 0)
+		},
+		"urgent work of a workspace beyond its share preempts nothing": func(is *is.I, c *cellOf) {
+			c.submit("own", "b", pj.KindBatch, pj.Urgent, 5, four)
+			c.submit("busy", "a", pj.KindBatch, pj.Normal, 3, four)
+			c.pass(20)
+			c.plan.Preempts = nil
+			c.submit("more", "b", pj.KindBatch, pj.Urgent, 1, four)
+			is.Equal(len(c.plan.Preempts), 0)
+		},
+		"work that may not be repeated is never preempted": func(is *is.I, c *cellOf) {
+			for i := range 8 {
+				job := &pj.Job{ID: fmt.Sprint("brass", i), Workspace: "a", Queue: "brass", Kind: pj.KindBatch, Tasks: 1, Task: four}
+				c.s.Submit(c.now, pj.Work{Job: job, Pending: []int{0}, Since: c.now})
+			}
+			c.decide()
+			c.pass(20)
+			c.submit("quick", "b", pj.KindBatch, pj.Urgent, 1, four)
+			is.Equal(len(c.plan.Preempts), 0)
+		},
+		"a job that failed on a worker goes elsewhere": func(is *is.I, c *cellOf) {
+			c.submit("j", "a", pj.KindBatch, pj.Normal, 1, two)
+			first := c.starts("j")[0]
+			c.blame.Failed(c.now, "j", first)
+			c.s.Ended(c.now, "j", 0)
+			c.s.Submit(c.now, pj.Work{Job: c.jobs["j"], Pending: []int{0}, Since: c.now})
+			c.decide()
+			is.True(c.starts("j")[1] != first)
+		},
+		"a workspace stays within its limit": func(is *is.I, c *cellOf) {
+			c.s.SetWorkspace("a", 1, pj.NewResources(4, 100, 0, 0))
+			c.submit("j", "a", pj.KindBatch, pj.Normal, 4, two)
+			is.Equal(len(c.starts("j")), 2)
+			is.Equal(c.s.Reason("j"), "workspace a is at its upper limit here (4 cores, 100 GiB)")
+		},
+		"a job that no worker can hold says so": func(is *is.I, c *cellOf) {
+			is.Equal(c.s.CanEverRun(&pj.Job{Kind: pj.KindBatch, Tasks: 1, Task: pj.NewResources(9, 1, 0, 0)}), false)
+			is.Equal(c.s.CanEverRun(&pj.Job{Kind: pj.KindGang, Tasks: 5, Task: full}), false)
+			is.True(c.s.CanEverRun(&pj.Job{Kind: pj.KindGang, Tasks: 4, Task: full}))
+		},
+		"cancelled work never starts": func(is *is.I, c *cellOf) {
+			c.fill()
+			c.submit("j", "b", pj.KindBatch, pj.Normal, 3, four)
+			c.s.Cancel("j")
+			c.s.Ended(c.now, "busy", 0)
+			c.pass(2)
+			is.Equal(len(c.starts("j")), 0)
+		},
+		"deferred work is served like normal work after ten minutes": func(is *is.I, c *cellOf) {
+			c.fill()
+			c.submit("late", "a", pj.KindBatch, pj.Deferred, 1, four)
+			c.pass(601)
+			c.submit("later", "a", pj.KindBatch, pj.Normal, 1, four)
+			c.s.Ended(c.now, "busy", 0)
+			c.s.Ended(c.now, "busy", 1)
+			c.pass(1)
+			is.Equal(len(c.starts("late")), 1)
+			is.Equal(len(c.starts("later")), 0)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { test(is.New(t), newCell(4, 0)) })
+	}
+}
+
+// TestAccelerators checks that work which needs none leaves room for work that needs accelerators.
+func TestAccelerators(t *testing.T) {
+	is := is.New(t)
+	c := newCell(2, 2)
+	c.submit("plain", "a", pj.KindBatch, pj.Normal, 8, two)
+	is.Equal(len(c.starts("plain")), 4) // half of each worker
+	c.s.SetWorkspace("b", 9, all)
+	c.submit("model", "b", pj.KindBatch, pj.Normal, 4, pj.NewResources(2, 2, 1, 0))
+	is.Equal(len(c.starts("model")), 4) // every accelerator is in use
+}
+
+// TestBlame tells poisoned jobs from poisoned workers.
+func TestBlame(t *testing.T) {
+	is := is.New(t)
+	r := blame.New()
+	for i, worker := range []string{"w1", "w2", "w3"} {
+		jobAtFault, quarantined := r.Failed(0, "poison", worker)
+		is.Equal(jobAtFault, i == 2)
+		is.Equal(quarantined, false)
+	}
+	for i, job := range []string{"j1", "j2", "j3"} {
+		jobAtFault, quarantined := r.Failed(0, job, "bad")
+		is.Equal(jobAtFault, false)
+		is.Equal(quarantined, i == 2)
+	}
+	is.True(r.Quarantined(29*time.Second, "bad"))
+	is.Equal(r.Quarantined(30*time.Second, "bad"), false)
+	_, again := r.Failed(31*time.Second, "j4", "bad") // one more failure sends it back
+	is.True(again)
+	is.True(r.Quarantined(90*time.Second, "bad")) // for twice as long
+	is.Equal(len(r.Avoid("j1")), 0)               // the jobs are not to blame
+}
