Memory: collect less often, within a lower limit

Cause: a profile of an entry VM at rest showed 39 % of its time in the garbage collector (GOGC 50 within 32 MB). Change: GOGC 100 within 24 MB for heap and stacks.

--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -27,7 +27,7 @@
 	DefaultMaxBodyBytes = 1 << 20
 	DefaultMaxInFlight  = 512
 	DefaultDrainTimeout = 30 * time.Second
-	DefaultMemoryLimit  = 32 << 20
+	DefaultMemoryLimit  = 24 << 20 // of the Go heap and stacks; the program itself comes on top
 )
 
 // Settings are the checked settings of one daemon.
--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -28,7 +28,7 @@
 	handOverTime    = 3 * time.Second
 	activePoll      = 20 * time.Millisecond
 	stopSlack       = 5 * time.Second
-	gcPercent       = 50
+	gcPercent       = 100
 )
 
 // Daemon is one VM of the system.
