--- a/internal/client/command/status.go
+++ b/internal/client/command/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"strings"
@@ -53,20 +54,34 @@
 }
 
 func (a *App) drain() *ffcli.Command {
-	return a.command("drain", "", "Show how to take a VM, a worker or an endpoint out of service",
-		"papaya drain",
-		func(context.Context, []string) error {
-			_, _ = fmt.Fprint(a.out, drainHelp)
-			return nil
+	var zone string
+	var off bool
+	return a.command("drain", "worker|endpoint NAME", "Take a worker or endpoint out of service; what runs there goes on to its end. A VM of the system is taken out by sending its papayad a SIGTERM",
+		"papaya drain --zone thies-atelier worker thies-atelier-worker-03\npapaya drain --zone thies-atelier --off worker thies-atelier-worker-03",
+		func(ctx context.Context, args []string) error {
+			if len(args) != 2 || zone == "" {
+				return fmt.Errorf("%w: give --zone, what to drain (worker or endpoint) and its name", errUsage)
+			}
+			d := pj.Drain{DrainTarget: pj.DrainTarget{Kind: pj.DrainKind(args[0]), Name: args[1]}, Zone: zone, Off: off}
+			client, closeClient := a.client()
+			defer closeClient()
+			if err := client.Drain(ctx, d); err != nil {
+				return err
+			}
+			return a.print(d, func(w io.Writer) {
+				state := "gets no new work"
+				if off {
+					state = "is back in service"
+				}
+				_, _ = fmt.Fprintf(w, "%s %s of zone %s %s\n", d.Kind, d.Name, d.Zone, state)
+			})
+		},
+		func(fs *flag.FlagSet) {
+			fs.StringVar(&zone, "zone", "", "zone of the worker or endpoint")
+			fs.BoolVar(&off, "off", false, "put it back into service")
 		})
 }
 
-const drainHelp = `To take a VM of the system out of service, send its papayad a SIGTERM: it tells the balancer,
-hands over what it leads, lets requests in flight end, and exits with 0.
-A worker reports "draining": true and an endpoint announces "leaving": true; both get no new work
-from then on and what runs there goes on to its end.
-`
-
 // table writes aligned columns.
 func table(w io.Writer, header string, rows func(row func(cells ...any))) {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -229,6 +229,11 @@
 	return st, c.call(ctx, http.MethodGet, "/v1/status", nil, &st)
 }
 
+// Drain takes a worker or endpoint out of service, or puts it back.
+func (c *Client) Drain(ctx context.Context, d pj.Drain) error {
+	return c.call(ctx, http.MethodPost, "/v1/drains", d, nil)
+}
+
 // GrantKey makes a key for a workspace.
 func (c *Client) GrantKey(ctx context.Context, k pj.KeyGrant) (out pj.KeyGrant, err error) {
 	return out, c.call(ctx, http.MethodPost, keysPath(k.Workspace), k, &out)
--- a/internal/control/accountant/requests.go
+++ b/internal/control/accountant/requests.go
@@ -47,12 +47,14 @@
 		return
 	}
 	now := a.options.Clock.Now()
+	drained := a.options.State.Drained(pj.DrainTarget{Kind: pj.DrainEndpoint, Name: an.Endpoint})
+	an.Leaving = an.Leaving || drained
 	settled, err := a.table.Announce(now, an)
 	if held, ok := a.announced[an.Endpoint]; ok {
 		delete(a.announced, an.Endpoint)
 		held.reply(pj.AnnouncementReply{}, nil)
 	}
-	if err != nil || an.Leaving || !settled {
+	if err != nil || (an.Leaving && !drained) || !settled {
 		reply(pj.AnnouncementReply{RenewWithinMS: announceAgain.Milliseconds()}, err)
 		return
 	}
@@ -60,6 +62,25 @@
 	a.announced[an.Endpoint] = heldAnnouncement{reply: reply, until: now + hold}
 }
 
+// Drain takes a worker or endpoint out of service, or puts it back, until operators say otherwise.
+func (a *Accountant) Drain(d pj.Drain, done func(error)) {
+	a.commit(cell.Command{Drain: &d}, func(r pj.CommitResult) {
+		if !a.closed {
+			a.tickWorkers(a.options.Clock.Now())
+			a.answerAnnouncement(d)
+		}
+		done(r.Err)
+	})
+}
+
+// answerAnnouncement makes a drained endpoint announce itself anew, which puts the change into force.
+func (a *Accountant) answerAnnouncement(d pj.Drain) {
+	if held, ok := a.announced[d.Name]; ok && d.Kind == pj.DrainEndpoint {
+		delete(a.announced, d.Name)
+		held.reply(pj.AnnouncementReply{}, nil)
+	}
+}
+
 func (a *Accountant) tickAnnouncements(now time.Duration) {
 	for name, held := range a.announced {
 		if now >= held.until {
--- a/internal/control/accountant/workers.go
+++ b/internal/control/accountant/workers.go
@@ -151,7 +151,7 @@
 		state = "restarting"
 	case now > w.heard+workerQuiet:
 		state = "silent"
-	case w.draining:
+	case w.draining || a.options.State.Drained(pj.DrainTarget{Kind: pj.DrainWorker, Name: w.name}):
 		state = "draining"
 	case a.blame.Quarantined(now, w.name):
 		state = "quarantined after failures"
--- a/internal/control/cell/state.go
+++ b/internal/control/cell/state.go
@@ -3,6 +3,7 @@
 package cell
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -22,6 +23,7 @@
 	End    []EndAttempt   `json:"end,omitempty"`
 	Allot  []AllotCommit  `json:"allot,omitempty"`
 	Forget []string       `json:"forget,omitempty"`
+	Drain  *pj.Drain      `json:"drain,omitempty"`
 }
 
 // StartAttempt records, before a worker hears of it, that a task is to run there.
@@ -97,6 +99,7 @@
 	jobs       map[string]*Record
 	allotments map[string]pj.Allotment
 	used       map[string]pj.Resources // reserved by live attempts, by workspace
+	drained    map[pj.DrainTarget]struct{}
 }
 
 // NewState returns an empty state.
@@ -105,6 +108,7 @@
 		jobs:       make(map[string]*Record),
 		allotments: make(map[string]pj.Allotment),
 		used:       make(map[string]pj.Resources),
+		drained:    make(map[pj.DrainTarget]struct{}),
 	}
 }
 
@@ -177,6 +181,9 @@
 	for _, a := range c.Allot {
 		s.allot(a)
 	}
+	if c.Drain != nil {
+		s.drain(*c.Drain)
+	}
 	for _, id := range c.Forget {
 		if r := s.jobs[id]; r != nil && r.Ended() {
 			delete(s.jobs, id)
@@ -287,6 +294,20 @@
 	s.allotments[a.Workspace] = held
 }
 
+func (s *State) drain(d pj.Drain) {
+	if d.Off {
+		delete(s.drained, d.DrainTarget)
+		return
+	}
+	s.drained[d.DrainTarget] = struct{}{}
+}
+
+// Drained reports whether operators took a worker or endpoint out of service.
+func (s *State) Drained(target pj.DrainTarget) bool {
+	_, ok := s.drained[target]
+	return ok
+}
+
 // Ended reports whether nothing of the job runs and nothing will.
 func (r *Record) Ended() bool {
 	if r.live > 0 {
@@ -344,12 +365,16 @@
 	Index      uint64                  `json:"index"`
 	Jobs       []*Record               `json:"jobs"`
 	Allotments map[string]pj.Allotment `json:"allotments"`
+	Drained    []pj.DrainTarget        `json:"drained,omitempty"`
 }
 
 // Snapshot returns the whole state as bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	p := snapshot{Index: s.index, Allotments: s.allotments}
 	s.Jobs(func(r *Record) { p.Jobs = append(p.Jobs, r) })
+	p.Drained = slices.SortedFunc(maps.Keys(s.drained), func(a, b pj.DrainTarget) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
 	data, err := json.Marshal(p)
 	if err != nil {
 		return nil, fmt.Errorf("write cell snapshot: %w", err)
@@ -370,6 +395,9 @@
 	if p.Allotments != nil {
 		s.allotments = p.Allotments
 	}
+	for _, target := range p.Drained {
+		s.drained[target] = struct{}{}
+	}
 	for _, r := range p.Jobs {
 		s.jobs[r.Job.ID] = r
 		s.recount(r)
--- a/internal/control/cell/state_test.go
+++ b/internal/control/cell/state_test.go
@@ -99,6 +99,8 @@
 		"a snapshot holds everything": func(r *run) {
 			r.start(start(0, 1, "w1"), start(1, 1, "w1"))
 			r.end(0, 1, pj.PhaseFinished, false)
+			target := pj.DrainTarget{Kind: pj.DrainWorker, Name: "w9"}
+			r.apply(cell.Command{Drain: &pj.Drain{DrainTarget: target, Zone: "z"}})
 			data, err := r.state.Snapshot()
 			r.is.NoErr(err)
 			restored := cell.NewState()
@@ -108,6 +110,7 @@
 			r.is.Equal(string(again), string(data))
 			r.is.Equal(restored.Used("a"), r.state.Used("a"))
 			r.is.Equal(restored.Job("z.job").Live(), 1)
+			r.is.True(restored.Drained(target))
 		},
 	}
 	for name, test := range tests {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -304,6 +304,53 @@
 	})
 }
 
+// TestEscrow holds what the replicated state refuses by itself.
+func TestEscrow(t *testing.T) {
+	allot := func(s *fleet.State, cellName string, seq uint64, cores float64) int {
+		accepted, _ := apply(s, fleet.Command{Allot: []fleet.AllotChange{{
+			Cell: cellName, Allotment: pj.Allotment{Workspace: "a", Seq: seq, Value: pj.NewResources(cores, 1, 0, 0)},
+		}}}).(int)
+		return accepted
+	}
+	confirm := func(s *fleet.State, seq uint64, cores float64) {
+		apply(s, fleet.Command{Confirm: []fleet.AllotConfirm{{
+			Cell: "x", Allotment: pj.Allotment{Workspace: "a", Seq: seq, Value: pj.NewResources(cores, 1, 0, 0)},
+		}}})
+	}
+	tests := map[string]func(is *is.I, s *fleet.State){
+		"a change while another is open is refused": func(is *is.I, s *fleet.State) {
+			is.Equal(allot(s, "x", 1, 10), 1)
+			is.Equal(allot(s, "x", 2, 5), 0)
+			confirm(s, 1, 10)
+			is.Equal(allot(s, "x", 2, 5), 1)
+		},
+		"a number that isn't the next is refused": func(is *is.I, s *fleet.State) {
+			is.Equal(allot(s, "x", 2, 10), 0)
+		},
+		"the sum stays within the limit": func(is *is.I, s *fleet.State) {
+			is.Equal(allot(s, "x", 1, 60), 1)
+			is.Equal(allot(s, "y", 1, 31), 0)
+			is.Equal(allot(s, "y", 1, 30), 1)
+		},
+		"a decrease counts only once it is confirmed": func(is *is.I, s *fleet.State) {
+			allot(s, "x", 1, 90)
+			confirm(s, 1, 90)
+			allot(s, "x", 2, 10)
+			is.Equal(allot(s, "y", 1, 1), 0)
+			confirm(s, 2, 40) // more was in use than it was asked to go down to
+			is.Equal(allot(s, "y", 1, 51), 0)
+			is.Equal(allot(s, "y", 1, 50), 1)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := fleet.NewState()
+			publish(s, 0, "one", limit)
+			test(is.New(t), s)
+		})
+	}
+}
+
 // TestLoweredLimit lowers a limit while a zone is cut off.
 func TestLoweredLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/server/api/api.go
+++ b/internal/server/api/api.go
@@ -82,6 +82,7 @@
 	mux.HandleFunc("GET /v1/workspaces/{workspace}/keys", a.operator(a.listKeys))
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/keys", a.operator(a.grantKey))
 	mux.HandleFunc("DELETE /v1/workspaces/{workspace}/keys/{id}", a.operator(a.withdrawKey))
+	mux.HandleFunc("POST /v1/drains", a.operator(a.drain))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", a.ready)
 	mux.HandleFunc("GET /metrics", a.writeMetrics)
--- a/internal/server/api/callers.go
+++ b/internal/server/api/callers.go
@@ -5,9 +5,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
+	"io"
 	"net/http"
 	"regexp"
 	"slices"
+	"strconv"
 	"time"
 
 	pj "papayajunction"
@@ -50,17 +53,30 @@
 		return
 	}
 	x.Body = body
-	if err := a.chain.Serve(r.Context(), x); err != nil {
+	x.Stream = func(head pj.Answer, length int64) io.Writer {
+		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+		writeHead(w, x, head)
+		return w
+	}
+	err = a.chain.Serve(r.Context(), x)
+	switch {
+	case errors.Is(err, dispatch.ErrBrokenOff):
+		panic(http.ErrAbortHandler) // so that the caller sees a broken connection and no whole answer
+	case err != nil:
 		writeError(w, err)
-		return
+	case !x.Answer.Streamed:
+		writeHead(w, x, x.Answer)
+		_, _ = w.Write(x.Answer.Body)
 	}
-	if x.Answer.ContentType != "" {
-		w.Header().Set("Content-Type", x.Answer.ContentType)
+}
+
+func writeHead(w http.ResponseWriter, x *pj.Exchange, head pj.Answer) {
+	if head.ContentType != "" {
+		w.Header().Set("Content-Type", head.ContentType)
 	}
 	w.Header().Set("X-Endpoint", x.Endpoint)
 	w.Header().Set("X-Waited", x.Waited.String())
-	w.WriteHeader(x.Answer.Status)
-	_, _ = w.Write(x.Answer.Body)
+	w.WriteHeader(head.Status)
 }
 
 // submit makes a job durable before it answers "accepted".
--- a/internal/server/api/operators.go
+++ b/internal/server/api/operators.go
@@ -93,6 +93,23 @@
 	writeJSON(w, http.StatusOK, st)
 }
 
+func (a *API) drain(w http.ResponseWriter, r *http.Request) {
+	var d pj.Drain
+	if err := readJSON(w, r, a.settings.MaxBodyBytes, &d); err != nil {
+		writeError(w, err)
+		return
+	}
+	if (d.Kind != pj.DrainWorker && d.Kind != pj.DrainEndpoint) || d.Name == "" || d.Zone == "" {
+		writeError(w, pj.Refuse(pj.CodeBadRequest, "give kind (worker or endpoint), name and zone"))
+		return
+	}
+	if err := a.node.DrainTarget(r.Context(), d); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, d)
+}
+
 func (a *API) listKeys(w http.ResponseWriter, r *http.Request) {
 	workspace := r.PathValue("workspace")
 	if workspace == operatorAll {
--- a/internal/server/daemon/daemon_test.go
+++ b/internal/server/daemon/daemon_test.go
@@ -47,6 +47,7 @@
 	}
 	s := settings.Default()
 	s.Listen, s.DataDir, s.Quiet, s.MemoryLimit = l.Addr().String(), t.TempDir(), true, 0
+	s.DrainTimeout = 3 * time.Second // far less than the long polls of these tests
 	_ = l.Close()
 	if err := s.Check(); err != nil {
 		t.Fatal(err)
--- a/internal/server/node/cell.go
+++ b/internal/server/node/cell.go
@@ -221,6 +221,12 @@
 	})
 }
 
+func (n *Node) runDrain(ctx context.Context, d pj.Drain) (struct{}, error) {
+	return withCell(ctx, n, d.Zone, func(a *accountant.Accountant, reply func(struct{}, error)) {
+		a.Drain(d, func(err error) { reply(struct{}{}, err) })
+	})
+}
+
 func (n *Node) runCellStatus(ctx context.Context, zone string) (pj.CellStatus, error) {
 	return withCell(ctx, n, zone, func(a *accountant.Accountant, reply func(pj.CellStatus, error)) {
 		st := a.CellStatus()
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -139,6 +139,15 @@
 	return keys, n.callLeader(ctx, topology.FleetGroup, opListKeys, 0, workspace, &keys)
 }
 
+// DrainTarget takes a worker or endpoint out of service, or puts it back.
+func (n *Node) DrainTarget(ctx context.Context, d pj.Drain) error {
+	if err := n.callLeader(ctx, topology.CellGroup(d.Zone), opDrain, 0, d, nil); err != nil {
+		return err
+	}
+	n.log("event", "drain_changed", "kind", d.Kind, "name", d.Name, "zone", d.Zone, "off", d.Off)
+	return nil
+}
+
 // Status returns the operators' view of the system from this VM.
 func (n *Node) Status(ctx context.Context) (pj.Status, error) {
 	ago, confirmed := n.directory.Confirmed()
--- a/internal/server/node/operations.go
+++ b/internal/server/node/operations.go
@@ -65,6 +65,7 @@
 	opRelease     = "release"
 	opAbandon     = "abandon"
 	opCellStatus  = "cell_status"
+	opDrain       = "drain"
 )
 
 func (n *Node) newOperations() map[string]operation {
@@ -86,6 +87,7 @@
 		opRelease:     typed(n.runRelease),
 		opAbandon:     typed(n.runAbandon),
 		opCellStatus:  typed(n.runCellStatus),
+		opDrain:       typed(n.runDrain),
 	}
 }
 
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,8 +32,13 @@
 	dialTimeout            = time.Second
 	idleTimeout            = 30 * time.Second
 	endpointPath           = "/v1/requests"
+	bufferBytes            = 128 << 10 // larger answers of known length are streamed
 )
 
+// ErrBrokenOff is returned when a streamed answer ended before its announced length; what the caller
+// has must not look whole.
+var ErrBrokenOff = errors.New("a streamed answer broke off")
+
 // Granter hands out the right to send a request to an endpoint.
 type Granter interface {
 	Grant(ctx context.Context, zone string, r pj.GrantRequest) (pj.Grant, error)
@@ -152,6 +158,9 @@
 		return d.failed(ctx, x, g, connected, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if d.streams(x, response) {
+		return d.stream(x, g, response)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.maxAnswer+1))
 	if response.Header.Get(HeaderNotRun) == "true" && err == nil {
 		return pj.Refuse(pj.CodeNoEndpoint, "endpoint %s refused the request unrun", g.Endpoint)
@@ -163,6 +172,25 @@
 	return d.check(x, g, response, body)
 }
 
+// streams reports whether an answer is large, of known and allowed length, and this request's own.
+func (d *Dispatcher) streams(x *pj.Exchange, response *http.Response) bool {
+	return x.Stream != nil && response.ContentLength > bufferBytes && response.ContentLength <= d.maxAnswer &&
+		response.StatusCode < http.StatusInternalServerError && response.Header.Get(HeaderNotRun) != "true" &&
+		response.Header.Get(HeaderRequestID) == x.RequestID
+}
+
+// stream passes a large answer on as it comes. It can't be taken back, so if it breaks off, the
+// caller's connection must break off too.
+func (d *Dispatcher) stream(x *pj.Exchange, g pj.Grant, response *http.Response) error {
+	x.Sent = true
+	x.Answer = pj.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Streamed: true}
+	out := x.Stream(x.Answer, response.ContentLength)
+	if n, err := io.Copy(out, response.Body); err != nil || n != response.ContentLength {
+		return fmt.Errorf("endpoint %s sent %d of %d bytes: %w", g.Endpoint, n, response.ContentLength, ErrBrokenOff)
+	}
+	return nil
+}
+
 // failed tells an endpoint that was never reached from one that may have run the request.
 func (d *Dispatcher) failed(ctx context.Context, x *pj.Exchange, g pj.Grant, connected bool, err error) error {
 	if connected {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -68,7 +68,10 @@
 // Release is part of dispatch.Granter.
 func (g *granter) Release(string, pj.GrantRelease) { g.released++ }
 
-const unreachable = "127.0.0.1:1"
+const (
+	unreachable = "127.0.0.1:1"
+	largeAnswer = 300 << 10
+)
 
 // answers of endpoints; those that ran the request say so.
 func (e *endpoint) good(w http.ResponseWriter, r *http.Request) {
@@ -108,6 +111,21 @@
 	_, _ = io.WriteString(w, strings.Repeat("x", 5000))
 }
 
+func (e *endpoint) large(w http.ResponseWriter, r *http.Request) {
+	e.run()
+	w.Header().Set(dispatch.HeaderRequestID, r.Header.Get(dispatch.HeaderRequestID))
+	w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
+	_, _ = io.WriteString(w, strings.Repeat("x", largeAnswer))
+}
+
+func (e *endpoint) largeCutShort(w http.ResponseWriter, r *http.Request) {
+	e.run()
+	w.Header().Set(dispatch.HeaderRequestID, r.Header.Get(dispatch.HeaderRequestID))
+	w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
+	_, _ = io.WriteString(w, strings.Repeat("x", largeAnswer/2))
+	panic(http.ErrAbortHandler)
+}
+
 func (e *endpoint) full(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(dispatch.HeaderNotRun, "true")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -234,9 +252,75 @@
 			if !s.repeatable {
 				is.True(r.runs <= 1)
 			}
+			if s.lapsed {
+				is.Equal(r.runs, 0) // its slot may have been given to another request
+			}
 			if strings.HasSuffix(name, "then a good one") {
 				is.True(r.err == nil)
 			}
 		})
 	}
 }
+
+// TestStreamedAnswer checks that a large answer reaches the caller whole, and that one which breaks off is
+// never passed on as whole, nor asked for again.
+func TestStreamedAnswer(t *testing.T) {
+	tests := map[string]struct {
+		answer func(e *endpoint) http.HandlerFunc
+		most   int64
+		whole  bool
+		bytes  int // that reach the caller of a whole answer
+	}{
+		"a large answer":                 {answer: func(e *endpoint) http.HandlerFunc { return e.large }, most: 1 << 20, whole: true, bytes: largeAnswer},
+		"a large answer cut short":       {answer: func(e *endpoint) http.HandlerFunc { return e.largeCutShort }, most: 1 << 20},
+		"an answer beyond the bound":     {answer: func(e *endpoint) http.HandlerFunc { return e.large }, most: 200 << 10},
+		"a large answer of another":      {answer: crossed, most: 1 << 20},
+		"a small answer is not streamed": {answer: good, most: 1 << 20, whole: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &endpoint{}
+			e.answers = one(test.answer)(e)
+			server := httptest.NewServer(e)
+			defer server.Close()
+			g := &granter{until: 2 * time.Hour, addresses: []string{strings.TrimPrefix(server.URL, "http://")}}
+			d, closeDispatcher := dispatch.New(g, g, "vm", []string{"z"}, test.most)
+			defer closeDispatcher()
+			var out strings.Builder
+			x := &pj.Exchange{RequestID: "r1", Queue: pj.Queue{Name: "q"}, Deadline: time.Now().Add(time.Hour)}
+			x.Stream = func(pj.Answer, int64) io.Writer { return &out }
+			err := filter.Chain(d, retry.New()).Serve(context.Background(), x)
+			is.Equal(err == nil, test.whole)
+			is.True(out.Len() == test.bytes || (!test.whole && out.Len() < largeAnswer)) // what broke off is never as long as a whole answer
+			is.Equal(e.runs, 1)
+			is.Equal(g.granted, g.released)
+		})
+	}
+}
+
+// TestHangUp checks that a caller who hangs up ends the request at the endpoint, and frees its slot.
+func TestHangUp(t *testing.T) {
+	is := is.New(t)
+	arrived, ended := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	defer server.Close()
+	g := &granter{until: 2 * time.Hour, addresses: []string{strings.TrimPrefix(server.URL, "http://")}}
+	d, closeDispatcher := dispatch.New(g, g, "vm", []string{"z"}, 4000)
+	defer closeDispatcher()
+	ctx, hangUp := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() {
+		result <- d.Serve(ctx, &pj.Exchange{RequestID: "r1", Queue: pj.Queue{Name: "q"}, Deadline: time.Now().Add(time.Hour)})
+	}()
+	<-arrived
+	hangUp()
+	<-ended
+	is.Equal(pj.AsError(<-result).NotRun, false)
+	is.Equal(g.released, 1)
+}
