--- a/internal/client/command/status.go
+++ b/internal/client/command/status.go
@@ -82,11 +82,15 @@
 		})
 }
 
-// table writes aligned columns.
+// table writes aligned columns, and nothing if there are no rows.
 func table(w io.Writer, header string, rows func(row func(cells ...any))) {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, strings.ReplaceAll(header, "|", "\t"))
+	empty := true
 	rows(func(cells ...any) {
+		if empty {
+			_, _ = fmt.Fprintln(tw, strings.ReplaceAll(header, "|", "\t"))
+			empty = false
+		}
 		texts := make([]string, len(cells))
 		for i, c := range cells {
 			texts[i] = fmt.Sprint(c)
@@ -130,7 +134,7 @@
 		_, _ = fmt.Fprintf(w, ": %s\n", c.Problem)
 		return
 	}
-	_, _ = fmt.Fprintf(w, ", led by %s: %d workers, %d endpoints\n", c.Leader, len(c.Workers), len(c.Endpoints))
+	_, _ = fmt.Fprintf(w, ", led by %s: %d workers, %d endpoints; those in use or not in service:\n", c.Leader, len(c.Workers), len(c.Endpoints))
 	table(w, "  WORKER|RACK|STATE|TASKS|RESERVED|OF", func(row func(...any)) {
 		for _, wk := range c.Workers {
 			if wk.Tasks > 0 || wk.State != "working" {
