--- a/internal/server/peer/client.go
+++ b/internal/server/peer/client.go
@@ -20,8 +20,8 @@
 // Times of connections between VMs.
 const (
 	dialTimeout = 2 * time.Second
-	pingEvery   = 2 * time.Second // after which a silent connection is tested
-	pingTimeout = 2 * time.Second // after which it is given up
+	pingEvery   = time.Second             // after which a silent connection is tested
+	pingTimeout = 1500 * time.Millisecond // after which it is given up
 	idleTimeout = time.Minute
 )
 
