--- a/internal/control/scheduler/blocked.go
+++ b/internal/control/scheduler/blocked.go
@@ -181,6 +181,31 @@
 	s.refreshLane(l)
 }
 
+// serveOwners starts the work whose reserved room is all free, before anything else can take it.
+func (s *Scheduler) serveOwners(now time.Duration, plan *pj.Plan) {
+	for _, r := range slices.Clone(s.reservations) {
+		l := r.entry.lane
+		if l == nil || l.first() != r.entry || !s.isFree(r) {
+			continue
+		}
+		if l.heap != nil {
+			s.release(l)
+		}
+		if l.blocked == notBlocked {
+			s.serve(now, l, plan)
+		}
+	}
+}
+
+func (s *Scheduler) isFree(r *reservation) bool {
+	for w, amount := range r.holds {
+		if !amount.Fits(s.index.Unreserved(w)) {
+			return false
+		}
+	}
+	return true
+}
+
 // wakeOwners makes the lanes ready for which room was held on workers that gained some.
 func (s *Scheduler) wakeOwners() {
 	for _, r := range s.reservations {
--- a/internal/control/scheduler/next.go
+++ b/internal/control/scheduler/next.go
@@ -13,6 +13,7 @@
 	s.age(now)
 	s.reviewReservations(now, &plan)
 	s.retryParked(now)
+	s.serveOwners(now, &plan)
 	s.wakeOwners()
 	s.serveReady(now, most, &plan)
 	tried := make(map[*lane]struct{})
@@ -78,7 +79,7 @@
 		s.block(l, blockedByLimit)
 		return
 	}
-	l.spared = !s.ledger.WithinShare(e.job.Workspace) && !s.index.Spare(needed, sparePart)
+	l.spared = s.mustSpare(e, needed)
 	if l.spared {
 		if e.job.Kind == pj.KindGang || !s.startBackfilled(now, e, plan) {
 			s.block(l, blockedByFit)
@@ -93,6 +94,21 @@
 	s.whenBlocked(now, e, plan)
 }
 
+// mustSpare reports whether the entry's workspace is beyond its share and would not leave enough of
+// the cell free. Room that is held for the entry is taken already.
+func (s *Scheduler) mustSpare(e *entry, needed pj.Resources) bool {
+	if s.ledger.WithinShare(e.job.Workspace) {
+		return false
+	}
+	if e.reservation != nil {
+		for _, amount := range e.reservation.holds {
+			needed = needed.Sub(amount)
+		}
+		needed = needed.Max(pj.Resources{})
+	}
+	return !s.index.Spare(needed, sparePart)
+}
+
 func (s *Scheduler) startAny(now time.Duration, e *entry, plan *pj.Plan) bool {
 	if e.job.Kind == pj.KindGang {
 		return s.startGang(now, e, plan)
--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -227,12 +227,13 @@
 // backfill returns a worker whose room is kept for others, if the task will have ended before
 // they need it.
 func (s *Scheduler) backfill(now time.Duration, e *entry, shape pj.Shape) (string, bool) {
-	run := s.runTime(e)
-	if run <= 0 || e.job.Kind == pj.KindService || !e.job.Repeatable {
+	if e.job.Kind == pj.KindService || !e.job.Repeatable {
 		return "", false
 	}
+	run := s.runTime(e)
 	for _, r := range s.reservations {
-		if r.entry == e || now+run > r.due {
+		endsInTime := run > 0 && now+run <= r.due
+		if r.entry == e || (r.entry.job.Kind != pj.KindGang && !endsInTime) {
 			continue
 		}
 		for _, w := range r.workers() {
@@ -282,6 +283,11 @@
 // onlyBackfilledInTheWay reports whether all room of a reservation would be free if no backfilled
 // task were there.
 func (s *Scheduler) onlyBackfilledInTheWay(r *reservation) bool {
+	e := r.entry
+	needed := e.amount.Times(int64(len(e.pending)))
+	if !s.ledger.Allows(e.job.Workspace, needed) || s.mustSpare(e, needed) {
+		return false
+	}
 	for w, amount := range r.holds {
 		room := s.index.Unreserved(w)
 		for _, t := range s.onWorker[w] {
