--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -224,8 +224,8 @@
 	return "", false
 }
 
-// backfill returns a worker whose room is kept for others, if the task will have ended before
-// they need it.
+// backfill returns a worker whose room is kept for others: for a gang, since the task gives way as
+// soon as the gang could start, or for other work if the task will have ended in time.
 func (s *Scheduler) backfill(now time.Duration, e *entry, shape pj.Shape) (string, bool) {
 	if e.job.Kind == pj.KindService || !e.job.Repeatable {
 		return "", false
@@ -237,13 +237,7 @@
 			continue
 		}
 		for _, w := range r.workers() {
-			if _, avoided := shape.Avoid[w]; avoided || !s.index.Usable(w) {
-				continue
-			}
-			if s.index.Capacity(w)[pj.Accelerators] > 0 && shape.Amount[pj.Accelerators] == 0 {
-				continue
-			}
-			if shape.Amount.Fits(s.index.Unreserved(w)) && s.onlyHolder(r, w) {
+			if s.canFillIn(r, w, shape) {
 				return w, true
 			}
 		}
@@ -251,6 +245,17 @@
 	return "", false
 }
 
+// canFillIn reports whether the shape fits on a worker that a reservation alone holds.
+func (s *Scheduler) canFillIn(r *reservation, worker string, shape pj.Shape) bool {
+	if _, avoided := shape.Avoid[worker]; avoided || !s.index.Usable(worker) {
+		return false
+	}
+	if s.index.Capacity(worker)[pj.Accelerators] > 0 && shape.Amount[pj.Accelerators] == 0 {
+		return false
+	}
+	return shape.Amount.Fits(s.index.Unreserved(worker)) && s.onlyHolder(r, worker)
+}
+
 // onlyHolder reports whether no other reservation holds the worker.
 func (s *Scheduler) onlyHolder(r *reservation, worker string) bool {
 	for _, other := range s.reservations {
