Scheduler: two tests that could not fail

Cause: eleven rules of the policy were broken one at a time; three breaks went unseen. Preempting urgent work beyond its share is also prevented by the rule that leaves room free. The other two were weak tests: work that may not be repeated, and workers that a job failed on. Change: the first fills the whole fleet, the second leaves only the avoided worker usable.

--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -184,11 +184,16 @@
 		},
 		"work that may not be repeated is never preempted": func(is *is.I, c *cellOf) {
 			for i := range 8 {
-				job := &pj.Job{ID: fmt.Sprint("brass", i), Workspace: "a", Queue: "brass", Kind: pj.KindBatch, Tasks: 1, Task: four}
+				workspace := "a"
+				if i == 7 {
+					workspace = "b"
+				}
+				job := &pj.Job{ID: fmt.Sprint("brass", i), Workspace: workspace, Queue: "brass", Kind: pj.KindBatch, Tasks: 1, Task: four}
 				c.s.Submit(c.now, pj.Work{Job: job, Pending: []int{0}, Since: c.now})
 			}
 			c.decide()
 			c.pass(20)
+			is.Equal(c.s.RunningCount(), 8)
 			c.submit("quick", "b", pj.KindBatch, pj.Urgent, 1, four)
 			is.Equal(len(c.plan.Preempts), 0)
 		},
@@ -197,8 +202,19 @@
 			first := c.starts("j")[0]
 			c.blame.Failed(c.now, "j", first)
 			c.s.Ended(c.now, "j", 0)
+			usable := func(yes bool) {
+				for i := range 4 {
+					if name := fmt.Sprint("w", i); name != first {
+						c.s.SetUsable(name, yes)
+					}
+				}
+			}
+			usable(false)
 			c.s.Submit(c.now, pj.Work{Job: c.jobs["j"], Pending: []int{0}, Since: c.now})
-			c.decide()
+			c.pass(2)
+			is.Equal(len(c.starts("j")), 1) // it rather waits
+			usable(true)
+			c.pass(2)
 			is.True(c.starts("j")[1] != first)
 		},
 		"a workspace stays within its limit": func(is *is.I, c *cellOf) {
