--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -190,8 +190,8 @@
 				}
 				job := &pj.Job{ID: fmt.Sprint("brass", i), Workspace: workspace, Queue: "brass", Kind: pj.KindBatch, Tasks: 1, Task: four}
 				c.s.Submit(c.now, pj.Work{Job: job, Pending: []int{0}, Since: c.now})
+				c.decide()
 			}
-			c.decide()
 			c.pass(20)
 			is.Equal(c.s.RunningCount(), 8)
 			c.submit("quick", "b", pj.KindBatch, pj.Urgent, 1, four)
