--- a/internal/client/command/callers.go
+++ b/internal/client/command/callers.go
@@ -54,17 +54,17 @@
 				}
 				return many.run(ctx)
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			reply, err := client.Request(ctx, queue, data)
-			if err != nil {
-				return err
-			}
-			_, _ = fmt.Fprintf(a.out, "%s\n", reply.Body)
-			if reply.Status >= 400 {
-				return fmt.Errorf("the endpoint answered with status %d", reply.Status)
-			}
-			return nil
+			return a.withClient(func(client *entry.Client) error {
+				reply, err := client.Request(ctx, queue, data)
+				if err != nil {
+					return err
+				}
+				_, _ = fmt.Fprintf(a.out, "%s\n", reply.Body)
+				if reply.Status >= 400 {
+					return fmt.Errorf("the endpoint answered with status %d", reply.Status)
+				}
+				return nil
+			})
 		},
 		func(fs *flag.FlagSet) {
 			fs.StringVar(&body, "body", "", "what to send")
@@ -99,21 +99,21 @@
 				}
 				return many.run(ctx)
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			if id == "" {
-				if id, err = a.newID(ctx, client, zone); err != nil {
-					return err
+			return a.withClient(func(client *entry.Client) error {
+				if id == "" {
+					if id, err = a.newID(ctx, client, zone); err != nil {
+						return err
+					}
 				}
-			}
-			st, err := client.Submit(ctx, id, submission)
-			if err != nil {
-				return fmt.Errorf("job %s: %w", id, err)
-			}
-			if wait {
-				return a.waitFor(ctx, client, id)
-			}
-			return a.print(st, func(w io.Writer) { writeJob(w, st) })
+				st, err := client.Submit(ctx, id, submission)
+				if err != nil {
+					return fmt.Errorf("job %s: %w", id, err)
+				}
+				if wait {
+					return a.waitFor(ctx, client, id)
+				}
+				return a.print(st, func(w io.Writer) { writeJob(w, st) })
+			})
 		},
 		func(fs *flag.FlagSet) {
 			fs.StringVar(&id, "id", "", "job id, as ZONE.RANDOM; by default a new one")
@@ -176,16 +176,16 @@
 			if err != nil {
 				return err
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			if wait {
-				return a.waitFor(ctx, client, id)
-			}
-			st, err := client.Job(ctx, id, 0)
-			if err != nil {
-				return err
-			}
-			return a.print(st, func(w io.Writer) { writeJob(w, st) })
+			return a.withClient(func(client *entry.Client) error {
+				if wait {
+					return a.waitFor(ctx, client, id)
+				}
+				st, err := client.Job(ctx, id, 0)
+				if err != nil {
+					return err
+				}
+				return a.print(st, func(w io.Writer) { writeJob(w, st) })
+			})
 		},
 		func(fs *flag.FlagSet) { fs.BoolVar(&wait, "wait", false, "wait until the job has ended") })
 }
@@ -198,12 +198,12 @@
 			if err != nil {
 				return err
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			st, err := client.Cancel(ctx, id)
-			if err != nil {
-				return err
-			}
-			return a.print(st, func(w io.Writer) { writeJob(w, st) })
+			return a.withClient(func(client *entry.Client) error {
+				st, err := client.Cancel(ctx, id)
+				if err != nil {
+					return err
+				}
+				return a.print(st, func(w io.Writer) { writeJob(w, st) })
+			})
 		})
 }
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -166,6 +166,13 @@
 	return entry.New(strings.Split(a.entries, ","), a.key, entry.WithTLS(a.tlsConfig()))
 }
 
+// withClient runs a step with a client that is closed afterwards.
+func (a *App) withClient(step func(client *entry.Client) error) error {
+	client, closeClient := a.client()
+	defer closeClient()
+	return step(client)
+}
+
 // tlsConfig returns nil for plain HTTP. Files that can't be read show when the first call fails.
 func (a *App) tlsConfig() *tls.Config {
 	config, err := peer.TLS(a.tls)
--- a/internal/client/command/operators.go
+++ b/internal/client/command/operators.go
@@ -73,9 +73,9 @@
 			if err != nil {
 				return err
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			return a.publishFiles(ctx, client, files, config, replaces, dry)
+			return a.withClient(func(client *entry.Client) error {
+				return a.publishFiles(ctx, client, files, config, replaces, dry)
+			})
 		},
 		func(fs *flag.FlagSet) {
 			fs.BoolVar(&dry, "dry", false, "show the difference and publish nothing")
@@ -160,13 +160,13 @@
 			if err != nil {
 				return err
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			k, err := client.GrantKey(ctx, pj.KeyGrant{Workspace: workspace})
-			if err != nil {
-				return err
-			}
-			return a.print(k, func(w io.Writer) { _, _ = fmt.Fprintf(w, "key %s for %s\n%s\n", k.ID, k.Workspace, k.Secret) })
+			return a.withClient(func(client *entry.Client) error {
+				k, err := client.GrantKey(ctx, pj.KeyGrant{Workspace: workspace})
+				if err != nil {
+					return err
+				}
+				return a.print(k, func(w io.Writer) { _, _ = fmt.Fprintf(w, "key %s for %s\n%s\n", k.ID, k.Workspace, k.Secret) })
+			})
 		})
 	grant.Name = "grant"
 	withdraw := a.command("key withdraw", "WORKSPACE KEY_ID", "Withdraw a key; it stops working everywhere within seconds",
@@ -175,13 +175,13 @@
 			if len(args) != 2 {
 				return fmt.Errorf("%w: give a workspace and a key id", errUsage)
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			if err := client.WithdrawKey(ctx, args[0], args[1]); err != nil {
-				return err
-			}
-			return a.print(pj.Key{ID: args[1], Workspace: args[0], Withdrawn: true}, func(w io.Writer) {
-				_, _ = fmt.Fprintf(w, "key %s of %s is withdrawn\n", args[1], args[0])
+			return a.withClient(func(client *entry.Client) error {
+				if err := client.WithdrawKey(ctx, args[0], args[1]); err != nil {
+					return err
+				}
+				return a.print(pj.Key{ID: args[1], Workspace: args[0], Withdrawn: true}, func(w io.Writer) {
+					_, _ = fmt.Fprintf(w, "key %s of %s is withdrawn\n", args[1], args[0])
+				})
 			})
 		})
 	withdraw.Name = "withdraw"
@@ -191,13 +191,13 @@
 			if len(args) > 0 {
 				workspace = args[0]
 			}
-			client, closeClient := a.client()
-			defer closeClient()
-			keys, err := client.Keys(ctx, workspace)
-			if err != nil {
-				return err
-			}
-			return a.print(keys, func(w io.Writer) { writeKeys(w, keys) })
+			return a.withClient(func(client *entry.Client) error {
+				keys, err := client.Keys(ctx, workspace)
+				if err != nil {
+					return err
+				}
+				return a.print(keys, func(w io.Writer) { writeKeys(w, keys) })
+			})
 		})
 	list.Name = "list"
 	return &ffcli.Command{
--- a/internal/client/command/status.go
+++ b/internal/client/command/status.go
@@ -11,19 +11,20 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	pj "papayajunction"
+	"papayajunction/internal/client/entry"
 )
 
 func (a *App) status() *ffcli.Command {
 	return a.command("status", "", "Show VMs, zones, endpoints, workers, workspaces, queues, and what waits and why",
 		"papaya status --entry 127.0.0.1:7100",
 		func(ctx context.Context, _ []string) error {
-			client, closeClient := a.client()
-			defer closeClient()
-			st, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			return a.print(st, func(w io.Writer) { writeStatus(w, st) })
+			return a.withClient(func(client *entry.Client) error {
+				st, err := client.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return a.print(st, func(w io.Writer) { writeStatus(w, st) })
+			})
 		})
 }
 
@@ -31,16 +32,16 @@
 	return a.command("workspace", "[NAME]", "Show what workspaces have running against share and limit",
 		"papaya workspace installers",
 		func(ctx context.Context, args []string) error {
-			client, closeClient := a.client()
-			defer closeClient()
-			st, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			if len(args) > 0 {
-				st.Workspaces = onlyWorkspace(st.Workspaces, args[0])
-			}
-			return a.print(st.Workspaces, func(w io.Writer) { writeWorkspaces(w, st) })
+			return a.withClient(func(client *entry.Client) error {
+				st, err := client.Status(ctx)
+				if err != nil {
+					return err
+				}
+				if len(args) > 0 {
+					st.Workspaces = onlyWorkspace(st.Workspaces, args[0])
+				}
+				return a.print(st.Workspaces, func(w io.Writer) { writeWorkspaces(w, st) })
+			})
 		})
 }
 
@@ -63,17 +64,17 @@
 				return fmt.Errorf("%w: give --zone, what to drain (worker or endpoint) and its name", errUsage)
 			}
 			d := pj.Drain{DrainTarget: pj.DrainTarget{Kind: pj.DrainKind(args[0]), Name: args[1]}, Zone: zone, Off: off}
-			client, closeClient := a.client()
-			defer closeClient()
-			if err := client.Drain(ctx, d); err != nil {
-				return err
-			}
-			return a.print(d, func(w io.Writer) {
-				state := "gets no new work"
-				if off {
-					state = "is back in service"
+			return a.withClient(func(client *entry.Client) error {
+				if err := client.Drain(ctx, d); err != nil {
+					return err
 				}
-				_, _ = fmt.Fprintf(w, "%s %s of zone %s %s\n", d.Kind, d.Name, d.Zone, state)
+				return a.print(d, func(w io.Writer) {
+					state := "gets no new work"
+					if off {
+						state = "is back in service"
+					}
+					_, _ = fmt.Fprintf(w, "%s %s of zone %s %s\n", d.Kind, d.Name, d.Zone, state)
+				})
 			})
 		},
 		func(fs *flag.FlagSet) {
