Daemon: the framework's logger is set once

Cause: go test -race ./internal/server/daemon reported a race between two daemons of one process, each setting the framework's global logger. Ruled out: races in our own packages, none was reported. Change: the first daemon sets it, before anything uses it.

--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,6 +32,9 @@
 	gcPercent       = 60
 )
 
+// frameworkLogger sets the framework's logger, which is one for the process, before anything uses it.
+var frameworkLogger sync.Once
+
 // Daemon is one VM of the system.
 type Daemon struct {
 	settings settings.Settings
@@ -86,9 +90,9 @@
 	d.closeStreams = closeStreams
 	server.HandlePrefix(path, handler)
 	server.HandlePrefix("/", a.Handler())
+	frameworkLogger.Do(func() { kratoslog.SetLogger(kratosLogger{logger: logger}) })
 	d.app = kratos.New(
 		kratos.Name("papayad"), kratos.ID(s.VM), kratos.Server(server),
-		kratos.Logger(kratosLogger{logger: logger}),
 		kratos.BeforeStop(d.drain), kratos.StopTimeout(s.DrainTimeout+stopSlack),
 	)
 	cleanup := func() {
