Agreement: four rules that no test held; a wrong claim put right

Three more breaks went unseen: commit beyond what matched, serving before an entry of the own term is committed, a membership change before that. The comment of Node.Ready said more than it checks. No decision code changes. Conclusion: the code was right, the tests were not.

--- a/internal/control/fairness/fairness.go
+++ b/internal/control/fairness/fairness.go
@@ -21,6 +21,8 @@
 	remote pj.Resources // used in other cells, as last heard
 }
 
+var _ pj.Orderer = (*Ledger)(nil)
+
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{accounts: make(map[string]*account)}
--- a/internal/control/placement/placement.go
+++ b/internal/control/placement/placement.go
@@ -62,6 +62,8 @@
 	workers []*worker
 }
 
+var _ pj.Placer = (*Index)(nil)
+
 // New returns an empty index.
 func New() *Index {
 	return &Index{
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -119,6 +119,44 @@
 			work(c, now)
 			is.Equal(c.Commit(), uint64(3))
 		},
+		"entries are taken only after an entry that matches": func(_ *testing.T, is *is.I) {
+			c := newCore(0, self, other, third)
+			c.Step(timeout, pj.PeerMessage{
+				Kind: pj.MessageAppend, From: third, To: self, Term: 2, Index: 1, LogTerm: 1,
+				Entries: []pj.LogEntry{{Index: 2, Term: 2, Data: []byte("replaced")}},
+			})
+			work(c, timeout)
+			c.Step(timeout, pj.PeerMessage{
+				Kind: pj.MessageAppend, From: other, To: self, Term: 3, Index: 2, LogTerm: 3, Commit: 3,
+				Entries: []pj.LogEntry{{Index: 3, Term: 3, Data: []byte("next")}},
+			})
+			r := work(c, timeout)
+			is.Equal(len(r.Messages), 1)
+			is.True(r.Messages[0].Reject)
+			is.Equal(c.Commit(), uint64(1)) // entry 2 is another one than the leader's
+		},
+		"nothing is committed beyond what is known to match": func(_ *testing.T, is *is.I) {
+			c := newCore(0, self, other, third)
+			c.Step(timeout, pj.PeerMessage{
+				Kind: pj.MessageAppend, From: third, To: self, Term: 2, Index: 1, LogTerm: 1,
+				Entries: []pj.LogEntry{{Index: 2, Term: 2, Data: []byte("replaced")}},
+			})
+			work(c, timeout)
+			c.Step(timeout, pj.PeerMessage{Kind: pj.MessageAppend, From: other, To: self, Term: 3, Index: 1, LogTerm: 1, Commit: 2})
+			work(c, timeout)
+			is.Equal(c.Commit(), uint64(1)) // the leader committed another entry 2
+		},
+		"a new leader serves and changes members only with an entry of its own committed": func(t *testing.T, is *is.I) {
+			c := newCore(0, self, other, third)
+			now := elect(c)
+			round := lastAppend(t, work(c, now).Early).Round
+			is.Equal(c.ReadyToServe(), false) // its state may lack what earlier leaders committed
+			is.Equal(c.AddLearner(now, "vm-3/a"), quorum.ErrChangePending)
+			ack(c, now, 2, round)
+			work(c, now)
+			is.True(c.ReadyToServe())
+			is.NoErr(c.AddLearner(now, "vm-3/a"))
+		},
 		"a read without a lease waits for a round that began after it": func(t *testing.T, is *is.I) {
 			c := newCore(0, self, other, third)
 			now := elect(c)
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -214,7 +214,7 @@
 	return list
 }
 
-// Ready reports whether this VM can serve: it knows the configuration, and its zone has a leader.
+// Ready reports whether this VM can serve: it has learned which configuration is in force.
 func (n *Node) Ready() bool {
 	_, confirmed := n.directory.Confirmed()
 	return confirmed
