Cell on the users' platform: the whole path

Cause: the product had cells per zone, jobs of equal tasks and workers that report; the platform's workers are called, its jobs have steps, and its VMs find each other from seeds.

Change: replicated state of workflows, a leader's controller of runs on called workers, one group over all zones formed from seeds, entries that pass calls on, and the adapter in platform/. The search for a leader, operations between VMs and the saver moved into packages of their own, which both designs use.

--- /dev/null
+++ b/cmd/papayacell/main.go
@@ -0,0 +1,148 @@
+// Command papayacell is the daemon of one VM of a cell on the users' platform.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	kitlog "github.com/go-kit/log"
+
+	"papayajunction/internal/config/settings"
+	"papayajunction/internal/server/app"
+	"papayajunction/internal/server/cluster"
+	"papayajunction/internal/server/eventlog"
+	"papayajunction/internal/server/peer"
+	"papayajunction/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Times and bounds of the process.
+const (
+	gcPercent     = 80
+	memoryPart    = 0.7                     // of the VM's memory that the heap may grow to before it is collected more often
+	entryLinger   = 4500 * time.Millisecond // until the balancer and the clients have noticed
+	replicaLinger = 700 * time.Millisecond
+	reloadEvery   = 2 * time.Second // the settings file may change without a signal
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout))
+}
+
+func run(args []string, out io.Writer) int {
+	s, err := settings.ParseCluster(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(out, "papayacell:", err)
+		return exitSettings
+	}
+	set := metrics.NewSet()
+	log, closeLog := eventlog.New(out, set, s.Quiet)
+	defer closeLog()
+	logger := kitlog.With(log, "vm", s.VM)
+	if err := serve(args, s, logger, set); err != nil {
+		_ = logger.Log("event", "stopped", "err", err)
+		return exitFailed
+	}
+	_ = logger.Log("event", "stopped")
+	return 0
+}
+
+func serve(args []string, s settings.Cluster, logger kitlog.Logger, set *metrics.Set) error {
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB<<20)))
+	}
+	var current atomic.Pointer[settings.Cluster]
+	current.Store(&s)
+	client, closeClient := platform.NewClient(s.Advice)
+	defer closeClient()
+	vm, closeVM, err := cluster.New(cluster.Options{
+		Address: s.PeerAddress(), Zone: s.Zone, Replica: s.Role == settings.RoleReplica, DataDir: s.DataDir,
+		Bootstrap: s.Bootstrap, Seeds: func() []string { return current.Load().PeerSeeds() },
+		PublicPort: s.ControlPort(), Link: client, Advisor: client, Logger: logger, Metrics: set,
+	})
+	if err != nil {
+		return fmt.Errorf("start VM: %w", err)
+	}
+	defer closeVM()
+	var a *app.App
+	options := app.Options{
+		Name: "papayacell", ID: s.VM, Logger: eventlog.Framework(logger), Grace: s.Grace, Retire: vm.Retire, Linger: replicaLinger,
+		Servers: servers(s, vm, set, func() bool { return a.Stopping() }),
+	}
+	if s.Role == settings.RoleEntry {
+		options.Linger = entryLinger
+	}
+	if a, err = app.New(options); err != nil {
+		return fmt.Errorf("start servers: %w", err)
+	}
+	go reload(args, &current, logger)
+	_ = logger.Log("event", "started", "role", s.Role, "zone", s.Zone, "ip", s.IP, "bootstrap", s.Bootstrap, "seeds", len(s.Seeds))
+	return a.Run()
+}
+
+// servers returns the interfaces of a role.
+func servers(s settings.Cluster, vm *cluster.VM, set *metrics.Set, stopping func() bool) []app.Server {
+	_, peers, _ := peer.NewHandler(s.PeerAddress(), vm, false)
+	list := []app.Server{{Address: s.PeerAddress(), Handler: peers, Peers: true}}
+	if s.MetricsPort > 0 {
+		list = append(list, app.Server{
+			Address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)),
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				set.WritePrometheus(w)
+				metrics.WriteProcessMetrics(w)
+			}),
+		})
+	}
+	if s.Role == settings.RoleReplica {
+		return append(list, app.Server{Address: s.ListenControl, Handler: platform.NewControl(vm), Callers: true})
+	}
+	return append(list,
+		app.Server{Address: s.ListenFront, Handler: platform.NewFront(vm), Callers: true},
+		app.Server{Address: s.ListenReady, Handler: platform.Ready(vm, stopping)},
+	)
+}
+
+// reload reads the settings again when told to and every few seconds; what isn't sound changes nothing.
+func reload(args []string, current *atomic.Pointer[settings.Cluster], logger kitlog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(reloadEvery)
+	for {
+		told := false
+		select {
+		case <-signals:
+			told = true
+		case <-ticker.C:
+		}
+		s, err := settings.ParseCluster(args)
+		if err != nil {
+			_ = logger.Log("event", "reload_failed", "err", err)
+			continue
+		}
+		before := current.Swap(&s)
+		if told || fmt.Sprint(before.Seeds) != fmt.Sprint(s.Seeds) {
+			_ = logger.Log("event", "reloaded", "signal", told, "seeds", fmt.Sprint(s.Seeds))
+		}
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package papayajunction
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -125,6 +126,8 @@
 		return Refuse(CodeBadRequest, "%s", err.Error())
 	case trace.IsLimitExceeded(err):
 		return Refuse(CodeOverloaded, "%s", err.Error())
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return Fail(CodeOutcomeUnknown, "no answer in time: %s", err.Error())
 	}
 	return Fail(CodeInternal, "%s", err.Error())
 }
--- /dev/null
+++ b/internal/control/runs/advice.go
@@ -0,0 +1,171 @@
+package runs
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	pj "papayajunction"
+)
+
+// Bounds of questions about a step.
+const (
+	nameMost      = 30                     // workers named in one question
+	nameLeast     = 12                     // workers named in the first question about a step, if there are so many
+	nameSpare     = 1.6                    // how many more workers are named than the step probably needs
+	firstShare    = 0.5                    // part of the workers that is taken to be allowed before anything is known
+	shareWeight   = 0.1                    // of one answer in the part that is learned
+	ticketSlack   = 250 * time.Millisecond // from an answer's way and a start's way
+	backlogMost   = 1500 * time.Millisecond
+	askSlack      = time.Second // on top of the time that an answer should take
+	askerRecovery = time.Second // after a question without an answer
+)
+
+// ticket lets the tasks of a step start on one life of a worker for some time.
+type ticket struct {
+	text  string
+	born  int64
+	until time.Duration
+}
+
+// asker is a VM that can ask the policy; each VM's questions are answered one after the other.
+type asker struct {
+	vm        string
+	busyUntil time.Duration
+	notBefore time.Duration
+}
+
+// SetAskers names the VMs that can ask for advice now.
+func (c *Controller) SetAskers(vms []string) {
+	for vm := range c.askers {
+		if !slices.Contains(vms, vm) {
+			delete(c.askers, vm)
+		}
+	}
+	for _, vm := range vms {
+		if c.askers[vm] == nil {
+			c.askers[vm] = &asker{vm: vm}
+			c.dirty = true
+		}
+	}
+}
+
+// pickAsker returns the VM that would answer first, or nil if all are too busy.
+func (c *Controller) pickAsker(now time.Duration) *asker {
+	var best *asker
+	for _, a := range c.askers {
+		if now < a.notBefore || a.busyUntil > now+backlogMost {
+			continue
+		}
+		if best == nil || a.busyUntil < best.busyUntil || (a.busyUntil == best.busyUntil && a.vm < best.vm) {
+			best = a
+		}
+	}
+	return best
+}
+
+// ask asks which of the workers may run a step.
+func (c *Controller) ask(now time.Duration, u *unit, names []string) {
+	a := c.pickAsker(now)
+	if a == nil || len(names) == 0 || u.asking {
+		return
+	}
+	policy := u.record.Workflow.Advice
+	cost := time.Duration((policy.DecisionMS + policy.PerWorkerMS*float64(len(names))) * float64(time.Millisecond))
+	a.busyUntil = max(a.busyUntil, now) + cost
+	u.asking = true
+	lives := make(map[string]int64, len(names))
+	for _, id := range names {
+		lives[id] = c.workers[id].Born
+	}
+	c.options.Orders.Advise(a.vm, u.id, names, a.busyUntil-now+askSlack, func(answer pj.Advice, err error) {
+		u.asking = false
+		c.dirty = true
+		if c.closed {
+			return
+		}
+		c.advised(now, u, a, lives, answer, err)
+	})
+}
+
+func (c *Controller) advised(asked time.Duration, u *unit, a *asker, lives map[string]int64, answer pj.Advice, err error) {
+	now := c.options.Clock.Now()
+	if err != nil {
+		a.notBefore = now + askerRecovery
+		c.options.Events.Decided("advice_failed", "workflow", u.id.Workflow, "step", u.id, "vm", a.vm, "took", now-asked, "err", err)
+		return
+	}
+	for id := range lives {
+		u.asked[id] = true
+	}
+	validity := time.Duration(answer.ValidityMS) * time.Millisecond
+	if answer.ValidityMS == 0 {
+		validity = time.Duration(u.record.Workflow.Advice.ValidityMS) * time.Millisecond
+	}
+	for _, t := range answer.Good {
+		u.good[t.Worker] = &ticket{text: t.Ticket, born: lives[t.Worker], until: now + validity - ticketSlack}
+	}
+	queue := u.record.Workflow.Queue
+	share := float64(len(answer.Good)) / float64(len(lives))
+	c.shares[queue] = c.share(queue)*(1-shareWeight) + share*shareWeight
+	c.options.Events.Decided("advice", "workflow", u.id.Workflow, "step", u.id, "vm", a.vm, "took", now-asked,
+		"named", len(lives), "good", len(answer.Good))
+}
+
+// share returns which part of the workers a queue's policy probably allows.
+func (c *Controller) share(queue string) float64 {
+	if s, ok := c.shares[queue]; ok {
+		return max(s, 1.0/nameMost)
+	}
+	return firstShare
+}
+
+func (u *unit) dropTicket(worker string) {
+	if t := u.good[worker]; t != nil {
+		t.until = 0
+	}
+}
+
+// fresh returns the ticket with which the unit's tasks may start on a worker now.
+func (u *unit) fresh(now time.Duration, w *worker) (string, bool) {
+	if u.record.Workflow.Advice == nil {
+		return "", true
+	}
+	t := u.good[w.ID]
+	if t == nil || t.born != w.Born || now >= t.until {
+		return "", false
+	}
+	return t.text, true
+}
+
+// allowed reports whether the policy is known to allow the worker, with or without a fresh ticket.
+func (u *unit) allowed(w *worker) bool {
+	return u.record.Workflow.Advice == nil || u.good[w.ID] != nil
+}
+
+// unknown returns workers to ask about for a number of tasks: those with most room that weren't asked about.
+func (p *plan) unknown(u *unit, tasks int) []string {
+	type choice struct {
+		id   string
+		room int
+	}
+	var choices []choice
+	for _, w := range p.workers {
+		if u.asked[w.ID] || !p.suits(w, u) {
+			continue
+		}
+		choices = append(choices, choice{id: w.ID, room: times(p.free(w), u.amount)})
+	}
+	slices.SortFunc(choices, func(a, b choice) int { return b.room - a.room })
+	share := p.c.share(u.record.Workflow.Queue)
+	want := max(nameLeast, int(math.Ceil(float64(tasks)*nameSpare/share)))
+	want = min(want, nameMost, len(choices))
+	names := make([]string, 0, want)
+	for _, ch := range choices[:want] {
+		if len(u.asked) > 0 && ch.room == 0 {
+			break // asking again pays only for workers that could start something now
+		}
+		names = append(names, ch.id)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/control/runs/assign.go
@@ -0,0 +1,247 @@
+package runs
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	pj "papayajunction"
+)
+
+// Bounds of one decision.
+const (
+	visitMost  = 400 // units that are looked at
+	claimGangs = 3   // gangs that may keep room free while they wait for more
+)
+
+// plan is one decision: units are served in order, and room that a unit waits for is kept from
+// those behind it.
+type plan struct {
+	c       *Controller
+	now     time.Duration
+	workers []*worker
+	claimed map[*worker]pj.Resources
+	gangs   int // gangs that keep room
+}
+
+// decide starts what can start.
+func (c *Controller) decide(now time.Duration) {
+	p := &plan{c: c, now: now, claimed: make(map[*worker]pj.Resources)}
+	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
+		if w := c.workers[id]; w.accepts(now) {
+			p.workers = append(p.workers, w)
+		}
+	}
+	ready := slices.Clone(c.ready)
+	for _, u := range ready[:min(len(ready), visitMost)] {
+		if u.spec.Gang {
+			p.serveGang(u)
+		} else {
+			p.serveTasks(u)
+		}
+		if len(u.pending) == 0 {
+			c.dequeue(u)
+		}
+	}
+}
+
+func (p *plan) free(w *worker) pj.Resources {
+	return w.free.Sub(p.claimed[w])
+}
+
+func (p *plan) claim(w *worker, amount pj.Resources) {
+	p.claimed[w] = p.claimed[w].Add(amount)
+}
+
+// suits reports whether tasks of a unit may run on a worker, whatever its room.
+func (p *plan) suits(w *worker, u *unit) bool {
+	if w.Pool != u.record.Workflow.Pool || (u.spec.Label != "" && !slices.Contains(w.Labels, u.spec.Label)) {
+		return false
+	}
+	_, avoided := p.c.blame.Avoid(u.id.Workflow)[w.ID]
+	return !avoided
+}
+
+// fits reports whether one more task of a unit may run on a worker now. extra is what the same decision
+// has put there already.
+func (p *plan) fits(w *worker, u *unit, extra int) bool {
+	if u.spec.AntiAffinity > 0 && u.onWorker[w.ID]+extra >= u.spec.AntiAffinity {
+		return false
+	}
+	return u.amount.FitsWhereUsed(p.free(w))
+}
+
+// best returns the worker on which the next task of a unit fits tightest, among those that the unit's
+// policy allows and that pass the filter.
+func (p *plan) best(u *unit, filter func(*worker) bool) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range p.workers {
+		if !u.allowed(w) || !p.suits(w, u) || !filter(w) {
+			continue
+		}
+		score := p.score(w, u)
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// score is lower for better places: near the data, and with the least left over.
+func (p *plan) score(w *worker, u *unit) float64 {
+	left := p.free(w).Sub(u.amount)
+	score := left.DominantShare(w.Capacity)
+	if u.spec.DataRack != "" && u.spec.DataRack != w.Rack {
+		score += 2
+	}
+	return score
+}
+
+// serveTasks starts as many tasks of a unit as possible.
+func (p *plan) serveTasks(u *unit) {
+	c := p.c
+	for len(u.pending) > 0 {
+		if !c.ledger.Allows(u.record.Workflow.Workspace, u.amount) {
+			return
+		}
+		w := p.best(u, func(w *worker) bool {
+			_, fresh := u.fresh(p.now, w)
+			return fresh && p.fits(w, u, 0)
+		})
+		if w == nil {
+			break
+		}
+		index := u.pending[0]
+		u.pending = u.pending[1:]
+		p.start(u, index, u.nextRun(index), w)
+	}
+	if len(u.pending) == 0 || u.record.Workflow.Advice == nil {
+		return
+	}
+	p.askForTasks(u)
+}
+
+// askForTasks keeps room on workers whose tickets have to be renewed, and asks for those and for more.
+func (p *plan) askForTasks(u *unit) {
+	stale := make(map[string]struct{})
+	extra := make(map[*worker]int)
+	missing := len(u.pending)
+	for missing > 0 {
+		w := p.best(u, func(w *worker) bool { return p.fits(w, u, extra[w]) })
+		if w == nil {
+			break
+		}
+		p.claim(w, u.amount)
+		extra[w]++
+		stale[w.ID] = struct{}{}
+		missing--
+	}
+	p.askFor(u, stale, missing)
+}
+
+func (p *plan) askFor(u *unit, stale map[string]struct{}, missing int) {
+	if u.asking {
+		return
+	}
+	names := slices.Sorted(maps.Keys(stale))
+	if missing > 0 {
+		names = append(names, p.unknown(u, missing)...)
+	}
+	p.c.ask(p.now, u, names[:min(len(names), nameMost)])
+}
+
+// serveGang starts all tasks of a gang, or keeps what room there is for it.
+func (p *plan) serveGang(u *unit) {
+	c := p.c
+	n := len(u.pending)
+	if !c.ledger.Allows(u.record.Workflow.Workspace, u.amount.Times(int64(n))) {
+		return
+	}
+	before := maps.Clone(p.claimed)
+	places := p.placeGang(u, n)
+	stale := make(map[string]struct{})
+	for _, w := range places {
+		if _, fresh := u.fresh(p.now, w); !fresh {
+			stale[w.ID] = struct{}{}
+		}
+	}
+	if len(places) == n && len(stale) == 0 {
+		p.claimed = before
+		pending := u.pending
+		u.pending = nil
+		number := u.nextRun(0)
+		for i, w := range places {
+			p.start(u, pending[i], number, w)
+		}
+		return
+	}
+	if len(places) < n && (p.gangs >= claimGangs || !p.couldFit(u, n)) {
+		p.claimed = before
+	} else {
+		p.gangs++
+	}
+	if u.record.Workflow.Advice == nil {
+		return
+	}
+	if len(places) < n {
+		stale = nil // their tickets would be too old once there is room for all
+	}
+	p.askFor(u, stale, n-len(places))
+}
+
+// placeGang claims room for as many members of a gang as possible and returns where.
+func (p *plan) placeGang(u *unit, n int) []*worker {
+	var places []*worker
+	extra := make(map[*worker]int)
+	for len(places) < n {
+		w := p.best(u, func(w *worker) bool { return p.fits(w, u, extra[w]) })
+		if w == nil {
+			break
+		}
+		p.claim(w, u.amount)
+		extra[w]++
+		places = append(places, w)
+	}
+	return places
+}
+
+// couldFit reports whether the workers that the policy allows could hold a gang if they were empty.
+func (p *plan) couldFit(u *unit, n int) bool {
+	room := 0
+	for _, w := range p.workers {
+		if u.allowed(w) && p.suits(w, u) {
+			each := times(w.Capacity, u.amount)
+			if u.spec.AntiAffinity > 0 {
+				each = min(each, u.spec.AntiAffinity)
+			}
+			room += each
+		}
+	}
+	return room >= n
+}
+
+// start proposes a run; it is told to the worker once it is committed.
+func (p *plan) start(u *unit, index, number int, w *worker) {
+	text, _ := u.fresh(p.now, w)
+	v := &run{
+		id:   pj.RunID{Task: pj.TaskID{StepID: u.id, Index: index}, Run: number},
+		unit: u, worker: w, ticket: text, startedAt: p.now,
+	}
+	p.c.occupy(v)
+	p.c.batch.starts = append(p.c.batch.starts, v)
+	if p.c.blame.Started(w.ID) {
+		w.unhealthy = p.now + unhealthyFor
+	}
+}
+
+// times returns how many of amount fit into room.
+func times(room, amount pj.Resources) int {
+	n := int64(1 << 30)
+	for d := range amount {
+		if amount[d] > 0 {
+			n = min(n, max(room[d], 0)/amount[d])
+		}
+	}
+	return int(n)
+}
--- /dev/null
+++ b/internal/server/cluster/cluster.go
@@ -0,0 +1,227 @@
+// Package cluster runs one VM of a system whose VMs find each other from seeds and whose workers are
+// called: an entry takes in work and passes it to the leader; a replica keeps the state as well and may lead.
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/rulebook"
+	"papayajunction/internal/server/lead"
+	"papayajunction/internal/server/operation"
+	"papayajunction/internal/server/peer"
+)
+
+// Group is the name of the one replicated group.
+const Group = "cluster"
+
+// Times of a VM.
+const (
+	syncInterval = 500 * time.Millisecond // between two questions for newer rules
+	tryTimeout   = 900 * time.Millisecond // of one try to reach the leader
+	callMost     = 2500 * time.Millisecond
+	finalsMost   = 4096 // final states of workflows that are remembered
+)
+
+// Options configure a VM.
+type Options struct {
+	Address    string // where the other VMs reach this one, an IP and port; it is the VM's name too
+	Zone       string
+	Replica    bool
+	DataDir    string
+	Bootstrap  bool // the system starts for the first time
+	Seeds      func() []string
+	PublicPort int // of the replicas' interface for workers and operators
+	Link       pj.WorkerLink
+	Advisor    pj.Advisor
+	Logger     Logger
+	Metrics    *metrics.Set
+}
+
+// Logger takes log lines.
+type Logger interface {
+	Log(keyvals ...any) error
+}
+
+// VM is one VM of the system.
+type VM struct {
+	options    Options
+	clock      pj.Clock
+	book       *rulebook.Book
+	transport  *peer.Transport
+	finder     lead.Finder
+	operations operation.Table
+	replica    *replica // nil on an entry
+	finals     finals
+	syncing    sync.Mutex
+
+	mu      sync.Mutex
+	members []string // VMs of the group, as last heard
+}
+
+// New starts a VM and returns a function that stops it.
+func New(options Options) (*VM, func(), error) {
+	clock := systemClock{start: time.Now()}
+	v := &VM{options: options, clock: clock, book: rulebook.New(clock), finals: newFinals(finalsMost)}
+	transport, closeTransport := peer.NewTransport(options.Address, addressOf, nil, peer.NewTraffic(options.Metrics))
+	v.transport = transport
+	v.operations = operation.Table{opAdvise: operation.Typed(v.runAdvise)}
+	closeReplica := func() {}
+	if options.Replica {
+		r, cleanup, err := newReplica(v)
+		if err != nil {
+			closeTransport()
+			return nil, nil, fmt.Errorf("start replica: %w", err)
+		}
+		v.replica = r
+		r.addOperations(v.operations)
+		closeReplica = cleanup
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	if v.replica != nil {
+		v.replica.start(ctx)
+	}
+	go v.syncRules(ctx)
+	return v, func() {
+		cancel()
+		closeTransport()
+		closeReplica()
+	}, nil
+}
+
+// addressOf says where a VM listens: VMs are named by their addresses.
+func addressOf(vm string) (string, bool) {
+	return vm, vm != ""
+}
+
+// systemClock counts from the start of the process.
+type systemClock struct {
+	start time.Time
+}
+
+// Now is part of pj.Clock.
+func (c systemClock) Now() time.Duration {
+	return time.Since(c.start)
+}
+
+func (v *VM) log(event string, keyvals ...any) {
+	_ = v.options.Logger.Log(append([]any{"event", event}, keyvals...)...)
+}
+
+// Deliver hands in messages from another VM.
+func (v *VM) Deliver(messages []pj.PeerMessage) {
+	if v.replica != nil {
+		v.replica.deliver(messages)
+	}
+}
+
+// Run runs an operation that another VM asked for.
+func (v *VM) Run(ctx context.Context, name string, argument []byte) (any, error) {
+	return v.operations.Run(ctx, name, argument)
+}
+
+// Book returns the rules that this VM knows.
+func (v *VM) Book() *rulebook.Book {
+	return v.book
+}
+
+// Ready reports whether this VM has rules and a way to the leader.
+func (v *VM) Ready() bool {
+	return v.book.InForce() == nil
+}
+
+// knownMembers returns the VMs that may lead: the members as last heard, then the seeds.
+func (v *VM) knownMembers() []string {
+	v.mu.Lock()
+	known := slices.Clone(v.members)
+	v.mu.Unlock()
+	for _, seed := range v.options.Seeds() {
+		if !slices.Contains(known, seed) {
+			known = append(known, seed)
+		}
+	}
+	return known
+}
+
+func (v *VM) setMembers(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.members = members
+}
+
+// call runs an operation on the leader, whichever VM that is.
+func (v *VM) call(ctx context.Context, name string, argument, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	_, err := v.finder.Do(ctx, lead.Call{
+		Group: Group, Members: v.knownMembers(), Clock: v.clock,
+		Run: func(ctx context.Context, vm string) error {
+			ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+			defer cancel()
+			if vm == v.options.Address {
+				return v.operations.RunLocal(ctx, name, argument, result)
+			}
+			return v.transport.Call(ctx, vm, name, argument, result)
+		},
+	})
+	return err
+}
+
+// syncRules keeps the rules on this VM as new as the leader's.
+func (v *VM) syncRules(ctx context.Context) {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	lost := true
+	for {
+		err := v.Sync(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if lost != (err != nil) {
+			lost = err != nil
+			v.log("leader_contact", "lost", lost, "leader", v.finder.Leader(Group), "rules_version", v.book.Rules().Version, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Sync asks the leader for newer rules.
+func (v *VM) Sync(ctx context.Context) error {
+	v.syncing.Lock()
+	defer v.syncing.Unlock()
+	asked := v.clock.Now()
+	request := syncRequest{VM: v.options.Address, Version: v.book.Rules().Version, Have: v.book.Rules().Document != nil}
+	var reply syncReply
+	if err := v.call(ctx, opSync, request, &reply); err != nil {
+		return err
+	}
+	v.setMembers(reply.Members)
+	if v.book.Learn(asked, reply.Version, reply.Rules) {
+		v.log("rules_in_force", "version", reply.Version, "queues", len(reply.Rules.Routes), "workspaces", len(reply.Rules.Teams))
+	}
+	return nil
+}
+
+// withPort returns an address with another port.
+func withPort(address string, port int) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
--- /dev/null
+++ b/internal/server/cluster/events.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pj "papayajunction"
+)
+
+// events writes the leader's decisions to the log and the metrics.
+type events struct {
+	vm  *VM
+	set *metrics.Set
+}
+
+func newEvents(v *VM) *events {
+	return &events{vm: v, set: v.options.Metrics}
+}
+
+// Decided is part of runs.Events.
+func (e *events) Decided(event string, keyvals ...any) {
+	e.Count(event)
+	e.vm.log(event, keyvals...)
+}
+
+// Count is part of runs.Events.
+func (e *events) Count(event string) {
+	e.set.GetOrCreateCounter(fmt.Sprintf("papaya_decisions_total{event=%q}", event)).Inc()
+}
+
+// Waited is part of runs.Events.
+func (e *events) Waited(w *pj.Workflow, wait time.Duration) {
+	e.histogram("papaya_task_wait_seconds", w).Update(wait.Seconds())
+}
+
+// Finished is part of runs.Events.
+func (e *events) Finished(w *pj.Workflow, took time.Duration) {
+	e.histogram("papaya_workflow_seconds", w).Update(took.Seconds())
+}
+
+func (e *events) histogram(name string, w *pj.Workflow) *metrics.Histogram {
+	return e.set.GetOrCreateHistogram(fmt.Sprintf(`%s{workspace=%q,priority=%q}`, name, w.Workspace, strconv.Itoa(w.Priority)))
+}
--- /dev/null
+++ b/internal/server/cluster/membership.go
@@ -0,0 +1,243 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	pj "papayajunction"
+	control "papayajunction/internal/control/replica"
+	"papayajunction/internal/server/lead"
+)
+
+// Times of joining and maintaining the group.
+const (
+	helloInterval = 100 * time.Millisecond
+	helloTimeout  = 500 * time.Millisecond
+	joinInterval  = 300 * time.Millisecond
+	memberAlive   = 1500 * time.Millisecond // a member heard this recently counts as alive
+	joinerAlive   = 2 * time.Second
+	votersMost    = 5 // further replicas receive the log and wait for a place
+)
+
+// genesisIndex and genesisTerm are the place of the group's first snapshot.
+const (
+	genesisIndex = 1
+	genesisTerm  = 1
+)
+
+func (r *replica) runHello(ctx context.Context, _ struct{}) (helloReply, error) {
+	started := false
+	err := r.loop.Do(ctx, func() { started = r.group != nil && r.group.Applied() > 0 })
+	if err != nil {
+		return helloReply{}, err
+	}
+	if !started {
+		recovered, err := r.store.Load(Group)
+		if err != nil {
+			return helloReply{}, err
+		}
+		started = recovered.Snapshot != nil
+	}
+	return helloReply{VM: r.vm.options.Address, Incarnation: r.id, Started: started}, nil
+}
+
+// join starts this VM's member of the group: with what its disk holds, or as a first member of a new group, or
+// else empty, to be brought up by the leader. Then it asks to be a member whenever it isn't.
+func (r *replica) join(ctx context.Context) {
+	recovered, err := r.store.Load(Group)
+	if err != nil {
+		r.vm.log("group_unreadable", "err", err)
+		return // without a sound log this VM must not take part
+	}
+	for recovered.Snapshot == nil && r.mayFound() {
+		members, started, complete := r.greet(ctx)
+		if started {
+			break
+		}
+		if complete {
+			recovered.Snapshot = &pj.LogSnapshot{
+				Index: genesisIndex, Term: genesisTerm, Membership: pj.Membership{Voters: members},
+			}
+			if !r.saveGenesis(ctx, recovered) {
+				return
+			}
+			break
+		}
+		if !lead.Pause(ctx, helloInterval) {
+			return
+		}
+	}
+	r.vm.log("member_started", "incarnation", r.id, "recovered", recovered.Snapshot != nil, "entries", len(recovered.Entries))
+	r.loop.Post(func() { r.group = r.host.Add(Group, 0, r.state, recovered, r.leadChanged, nil) })
+	for lead.Pause(ctx, joinInterval) {
+		r.askToJoin(ctx)
+	}
+}
+
+// mayFound reports whether this VM is one of those that form the group when the system first starts.
+func (r *replica) mayFound() bool {
+	return r.vm.options.Bootstrap && slices.Contains(r.vm.options.Seeds(), r.vm.options.Address)
+}
+
+// greet asks all seeds. complete means that every one answered and is empty.
+func (r *replica) greet(ctx context.Context) (members []string, started, complete bool) {
+	complete = true
+	for _, vm := range r.vm.options.Seeds() {
+		reply, err := r.hello(ctx, vm)
+		if err != nil {
+			complete = false
+			continue
+		}
+		started = started || reply.Started
+		members = append(members, control.MemberID(reply.VM, reply.Incarnation))
+	}
+	slices.Sort(members)
+	return members, started, complete
+}
+
+func (r *replica) hello(ctx context.Context, vm string) (reply helloReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	if vm == r.vm.options.Address {
+		return r.runHello(ctx, struct{}{})
+	}
+	return reply, r.vm.transport.Call(ctx, vm, opHello, struct{}{}, &reply)
+}
+
+func (r *replica) saveGenesis(ctx context.Context, recovered pj.Recovered) bool {
+	write := pj.LogWrite{Group: Group, State: &recovered.State, Snapshot: recovered.Snapshot, KeepAfter: genesisIndex}
+	for {
+		err := r.store.Save([]pj.LogWrite{write})
+		if err == nil {
+			r.vm.log("group_founded", "members", recovered.Snapshot.Membership.Voters)
+			return true
+		}
+		r.vm.log("disk_write_failed", "err", err)
+		if !lead.Pause(ctx, time.Second) {
+			return false
+		}
+	}
+}
+
+// askToJoin asks the leader to make this VM a member if it has no vote.
+func (r *replica) askToJoin(ctx context.Context) {
+	voter := true
+	err := r.loop.Do(ctx, func() {
+		voter = r.group == nil || slices.Contains(r.group.Membership().Voters, r.host.ID())
+	})
+	if err != nil || voter {
+		return
+	}
+	if err := r.vm.call(ctx, opJoin, joinRequest{Member: r.host.ID()}, nil); err != nil {
+		r.vm.log("join_failed", "member", r.host.ID(), "err", err)
+	}
+}
+
+func (r *replica) runJoin(ctx context.Context, request joinRequest) (struct{}, error) {
+	return leading(ctx, r, func(reply func(struct{}, error)) {
+		r.joiners[request.Member] = r.vm.clock.Now()
+		reply(struct{}{}, nil)
+	})
+}
+
+// maintainMembers makes at most one change; the next call goes on from there.
+func (r *replica) maintainMembers(now time.Duration) {
+	if !r.group.Serving() {
+		return
+	}
+	m := r.group.Membership()
+	for id, at := range r.joiners {
+		if now > at+joinerAlive || slices.Contains(m.Voters, id) {
+			delete(r.joiners, id)
+			continue
+		}
+		if r.advance(now, m, id) {
+			return
+		}
+	}
+}
+
+// advance goes one step towards a vote for a member: it becomes a learner; once it has caught up, a voter that
+// it replaces leaves; then it gets the vote.
+func (r *replica) advance(now time.Duration, m pj.Membership, id string) bool {
+	core := r.group.Core()
+	var err error
+	switch {
+	case !slices.Contains(m.Learners, id):
+		err = core.AddLearner(now, id)
+		r.vm.log("member_joins", "member", id, "as", "learner", "err", err)
+	case !core.CaughtUp(id) || !core.HeardWithin(now, id, memberAlive):
+		return false
+	default:
+		old := r.replacedBy(now, m, id)
+		switch {
+		case old != "" && r.othersAlive(now, m, old):
+			err = core.Remove(now, old)
+			r.vm.log("member_leaves", "member", old, "for", id, "err", err)
+		case old == "" && (len(m.Voters) < votersMost):
+			err = core.Promote(now, id)
+			r.vm.log("member_joins", "member", id, "as", "voter", "err", err)
+		default:
+			return false
+		}
+	}
+	return err == nil
+}
+
+// replacedBy returns the voter whose place a learner takes: an earlier identity of the same VM, or one that
+// is silent.
+func (r *replica) replacedBy(now time.Duration, m pj.Membership, id string) string {
+	for _, voter := range m.Voters {
+		if control.VMOf(voter) == control.VMOf(id) {
+			return voter
+		}
+	}
+	for _, voter := range m.Voters {
+		if !r.group.Core().HeardWithin(now, voter, memberAlive) {
+			return voter
+		}
+	}
+	return ""
+}
+
+// othersAlive reports whether all voters but one answer.
+func (r *replica) othersAlive(now time.Duration, m pj.Membership, except string) bool {
+	for _, id := range m.Voters {
+		if id != except && !r.group.Core().HeardWithin(now, id, memberAlive) {
+			return false
+		}
+	}
+	return true
+}
+
+// handOver gives the leadership to another voter that has the whole log; it reports whether there is
+// something left to hand over.
+func (r *replica) handOver(now time.Duration) bool {
+	if r.group == nil || !r.group.Lead().IsLeader {
+		return false
+	}
+	for _, id := range r.group.Membership().Voters {
+		if id != r.host.ID() && r.group.Core().CaughtUp(id) && r.group.Core().HeardWithin(now, id, memberAlive) {
+			_ = r.group.Core().Transfer(now, id) // fails if one is under way already
+			return true
+		}
+	}
+	return false
+}
+
+// Retire hands the leadership over and waits for that.
+func (v *VM) Retire(ctx context.Context) {
+	if v.replica == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		leads := false
+		if err := v.replica.loop.Do(ctx, func() { leads = v.replica.handOver(v.clock.Now()) }); err != nil || !leads {
+			return
+		}
+		if !lead.Pause(ctx, tickInterval) {
+			return
+		}
+	}
+}
--- a/internal/server/node/cell.go
+++ b/internal/server/node/cell.go
@@ -10,6 +10,7 @@
 	"papayajunction/internal/control/accountant"
 	"papayajunction/internal/control/cell"
 	"papayajunction/internal/control/replica"
+	"papayajunction/internal/server/operation"
 )
 
 // cellMember is this VM's part in one zone's group. Its fields belong to the control goroutine.
@@ -77,7 +78,7 @@
 
 // withCell runs work on the control goroutine if this VM leads the zone's cell.
 func withCell[R any](ctx context.Context, n *Node, zone string, work func(a *accountant.Accountant, reply func(R, error))) (R, error) {
-	return await(ctx, n.loop, func(reply func(R, error)) {
+	return operation.Await(ctx, n.loop, func(reply func(R, error)) {
 		c := n.cells[zone]
 		if c == nil || c.accountant == nil || !c.group.Serving() {
 			var none R
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -60,7 +60,7 @@
 
 // leaderAddress returns the address of the VM that led a zone's cell last, if it is in the zone.
 func (n *Node) leaderAddress(zone string) string {
-	vm, ok := n.topology.VM(n.leaders.get(topology.CellGroup(zone)))
+	vm, ok := n.topology.VM(n.leaders.Leader(topology.CellGroup(zone)))
 	if !ok || vm.Zone != zone {
 		return ""
 	}
--- a/internal/server/node/fleet.go
+++ b/internal/server/node/fleet.go
@@ -12,6 +12,8 @@
 	"papayajunction/internal/control/directory"
 	"papayajunction/internal/control/fleet"
 	"papayajunction/internal/control/replica"
+	"papayajunction/internal/server/lead"
+	"papayajunction/internal/server/operation"
 )
 
 // Times of the fleet's regular work.
@@ -95,9 +97,9 @@
 	f.group.Commit(data, done)
 }
 
-// lead runs work on the control goroutine if this VM leads the fleet group.
-func lead[R any](ctx context.Context, f *fleetMember, work func(reply func(R, error))) (R, error) {
-	return await(ctx, f.node.loop, func(reply func(R, error)) {
+// leading runs work on the control goroutine if this VM leads the fleet group.
+func leading[R any](ctx context.Context, f *fleetMember, work func(reply func(R, error))) (R, error) {
+	return operation.Await(ctx, f.node.loop, func(reply func(R, error)) {
 		if !f.serving() {
 			var none R
 			reply(none, f.node.notLeader(topology.FleetGroup))
@@ -121,7 +123,7 @@
 }
 
 func (f *fleetMember) runSync(ctx context.Context, r syncRequest) (syncReply, error) {
-	return lead(ctx, f, func(reply func(syncReply, error)) {
+	return leading(ctx, f, func(reply func(syncReply, error)) {
 		s := syncReply{Index: f.state.PublicIndex()}
 		if r.Have < s.Index && !r.Member {
 			public := f.state.Public()
@@ -146,7 +148,7 @@
 		n.directory.Set(*reply.Public)
 	}
 	for !n.directory.Confirm(asked, reply.Index) {
-		if !pause(ctx, tickInterval) {
+		if !lead.Pause(ctx, tickInterval) {
 			return
 		}
 	}
@@ -167,7 +169,7 @@
 		e.Details = issues
 		return pj.Published{}, e
 	}
-	return lead(ctx, f, func(reply func(pj.Published, error)) {
+	return leading(ctx, f, func(reply func(pj.Published, error)) {
 		command := fleet.Command{Publish: &fleet.Publish{
 			Replaces: p.Replaces, Hash: config.Hash, Workspaces: config.Workspaces, Queues: config.Queues,
 		}}
@@ -190,7 +192,7 @@
 
 // change commits a command that returns an error or nothing.
 func (f *fleetMember) change(ctx context.Context, c fleet.Command) error {
-	_, err := lead(ctx, f, func(reply func(struct{}, error)) {
+	_, err := leading(ctx, f, func(reply func(struct{}, error)) {
 		f.commit(c, func(r pj.CommitResult) {
 			if refused, ok := r.Value.(*pj.Error); ok && refused != nil {
 				reply(struct{}{}, refused)
@@ -214,11 +216,11 @@
 }
 
 func (f *fleetMember) runListKeys(ctx context.Context, workspace string) ([]pj.Key, error) {
-	return lead(ctx, f, func(reply func([]pj.Key, error)) { reply(f.state.Keys(workspace), nil) })
+	return leading(ctx, f, func(reply func([]pj.Key, error)) { reply(f.state.Keys(workspace), nil) })
 }
 
 func (f *fleetMember) runAllotments(ctx context.Context, r pj.AllotmentReport) (pj.AllotmentReply, error) {
-	return lead(ctx, f, func(reply func(pj.AllotmentReply, error)) {
+	return leading(ctx, f, func(reply func(pj.AllotmentReply, error)) {
 		needFull := f.planner.Hear(f.node.clock.Now(), r)
 		reply(pj.AllotmentReply{
 			FleetTerm: f.group.Lead().Term,
@@ -231,7 +233,7 @@
 }
 
 func (f *fleetMember) runStatus(ctx context.Context, _ struct{}) ([]pj.WorkspaceStatus, error) {
-	return lead(ctx, f, func(reply func([]pj.WorkspaceStatus, error)) {
+	return leading(ctx, f, func(reply func([]pj.WorkspaceStatus, error)) {
 		var list []pj.WorkspaceStatus
 		for _, w := range f.state.Configuration().Workspaces {
 			use, waiting := f.planner.Use(w.Name)
--- a/internal/server/node/groups.go
+++ b/internal/server/node/groups.go
@@ -9,6 +9,7 @@
 	"papayajunction/internal/config/topology"
 	"papayajunction/internal/control/cell"
 	"papayajunction/internal/control/replica"
+	"papayajunction/internal/server/lead"
 )
 
 // Times of joining and maintaining groups.
@@ -79,7 +80,7 @@
 			}
 			break
 		}
-		if !pause(ctx, helloInterval) {
+		if !lead.Pause(ctx, helloInterval) {
 			return
 		}
 	}
@@ -114,7 +115,7 @@
 			return true
 		}
 		n.log("event", "disk_write_failed", "group", group, "err", err)
-		if !pause(ctx, time.Second) {
+		if !lead.Pause(ctx, time.Second) {
 			return false
 		}
 	}
--- a/internal/server/node/node.go
+++ b/internal/server/node/node.go
@@ -20,8 +20,11 @@
 	"papayajunction/internal/control/directory"
 	"papayajunction/internal/control/loop"
 	"papayajunction/internal/control/replica"
+	"papayajunction/internal/server/lead"
+	"papayajunction/internal/server/operation"
 	"papayajunction/internal/server/peer"
 	"papayajunction/internal/storage/boltlog"
+	"papayajunction/internal/storage/saver"
 )
 
 // Times of the control side.
@@ -49,8 +52,8 @@
 	id        string                 // incarnation of the data folder
 
 	tickedAt   time.Duration // belongs to the control goroutine
-	operations map[string]operation
-	leaders    leaderHints
+	operations operation.Table
+	leaders    lead.Finder
 	syncNow    chan struct{}
 	draining   sync.Once
 }
@@ -87,11 +90,11 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("open data folder: %w", err)
 	}
-	transport, closeTransport := peer.NewTransport(s.VM, s.VMs, tlsConfig, peer.NewTraffic(set))
+	transport, closeTransport := peer.NewTransport(s.VM, n.addressOf, tlsConfig, peer.NewTraffic(set))
 	n.transport = transport
-	saver, closeSaver := newSaver(n.store, n.loop, set)
+	writer, closeSaver := saver.New(n.store, n.loop, set)
 	n.host = replica.New(replica.Options{
-		VM: s.VM, Incarnation: n.id, Saver: saver, Transport: transport, Clock: clock,
+		VM: s.VM, Incarnation: n.id, Saver: writer, Transport: transport, Clock: clock,
 		Rand: newRand(), Heartbeat: heartbeat, Election: election,
 		OnFault: func(err error) { n.log("event", "disk_write_failed", "err", err) },
 	})
@@ -156,7 +159,7 @@
 	proposed := newIncarnation()
 	if n.settings.DataDir == "" {
 		n.id = proposed
-		n.store = &memoryStore{}
+		n.store = &saver.Memory{}
 		return func() error { return nil }, nil
 	}
 	store, closeStore, err := boltlog.New(n.settings.DataDir)
--- a/internal/server/node/operations.go
+++ b/internal/server/node/operations.go
@@ -2,50 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 
-	pj "papayajunction"
-	"papayajunction/internal/control/loop"
+	"papayajunction/internal/server/operation"
 )
 
-// operation runs one call on this VM.
-type operation func(ctx context.Context, argument []byte) (any, error)
-
-// typed turns a function on typed messages into an operation.
-func typed[A, R any](run func(context.Context, A) (R, error)) operation {
-	return func(ctx context.Context, argument []byte) (any, error) {
-		var a A
-		if err := json.Unmarshal(argument, &a); err != nil {
-			return nil, pj.Refuse(pj.CodeBadRequest, "the argument can't be read: %v", err)
-		}
-		return run(ctx, a)
-	}
-}
-
-// await runs start on the control goroutine and waits for its reply.
-func await[R any](ctx context.Context, l *loop.Loop, start func(reply func(R, error))) (R, error) {
-	type outcome struct {
-		value R
-		err   error
-	}
-	replies := make(chan outcome, 1)
-	l.Post(func() {
-		start(func(value R, err error) {
-			select {
-			case replies <- outcome{value: value, err: err}:
-			default:
-			}
-		})
-	})
-	select {
-	case o := <-replies:
-		return o.value, o.err
-	case <-ctx.Done():
-		var none R
-		return none, ctx.Err()
-	}
-}
-
 // Names of operations between VMs.
 const (
 	opHello       = "hello"
@@ -68,34 +28,30 @@
 	opDrain       = "drain"
 )
 
-func (n *Node) newOperations() map[string]operation {
-	return map[string]operation{
-		opHello:       typed(n.runHello),
-		opSync:        typed(n.fleet.runSync),
-		opPublish:     typed(n.fleet.runPublish),
-		opGrantKey:    typed(n.fleet.runGrantKey),
-		opWithdrawKey: typed(n.fleet.runWithdrawKey),
-		opListKeys:    typed(n.fleet.runListKeys),
-		opAllotments:  typed(n.fleet.runAllotments),
-		opFleetStatus: typed(n.fleet.runStatus),
-		opSubmit:      typed(n.runSubmit),
-		opCancel:      typed(n.runCancel),
-		opJob:         typed(n.runJob),
-		opReport:      typed(n.runReport),
-		opAnnounce:    typed(n.runAnnounce),
-		opGrant:       typed(n.runGrant),
-		opRelease:     typed(n.runRelease),
-		opAbandon:     typed(n.runAbandon),
-		opCellStatus:  typed(n.runCellStatus),
-		opDrain:       typed(n.runDrain),
+func (n *Node) newOperations() operation.Table {
+	return operation.Table{
+		opHello:       operation.Typed(n.runHello),
+		opSync:        operation.Typed(n.fleet.runSync),
+		opPublish:     operation.Typed(n.fleet.runPublish),
+		opGrantKey:    operation.Typed(n.fleet.runGrantKey),
+		opWithdrawKey: operation.Typed(n.fleet.runWithdrawKey),
+		opListKeys:    operation.Typed(n.fleet.runListKeys),
+		opAllotments:  operation.Typed(n.fleet.runAllotments),
+		opFleetStatus: operation.Typed(n.fleet.runStatus),
+		opSubmit:      operation.Typed(n.runSubmit),
+		opCancel:      operation.Typed(n.runCancel),
+		opJob:         operation.Typed(n.runJob),
+		opReport:      operation.Typed(n.runReport),
+		opAnnounce:    operation.Typed(n.runAnnounce),
+		opGrant:       operation.Typed(n.runGrant),
+		opRelease:     operation.Typed(n.runRelease),
+		opAbandon:     operation.Typed(n.runAbandon),
+		opCellStatus:  operation.Typed(n.runCellStatus),
+		opDrain:       operation.Typed(n.runDrain),
 	}
 }
 
 // Run runs an operation that another VM asked for.
 func (n *Node) Run(ctx context.Context, name string, argument []byte) (any, error) {
-	run, ok := n.operations[name]
-	if !ok {
-		return nil, pj.Refuse(pj.CodeBadRequest, "operation %s is not known", name)
-	}
-	return run(ctx, argument)
+	return n.operations.Run(ctx, name, argument)
 }
--- a/internal/server/peer/transport.go
+++ b/internal/server/peer/transport.go
@@ -5,12 +5,12 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	pj "papayajunction"
-	"papayajunction/internal/config/topology"
 	"papayajunction/internal/server/peer/peerpb"
 	"papayajunction/internal/server/peer/peerpb/peerpbconnect"
 )
@@ -20,10 +20,15 @@
 	reopenAfter = 100 * time.Millisecond
 )
 
-// Transport sends messages and calls to the other VMs.
+// Transport sends messages and calls to the other VMs. Connections are made when they are first used.
 type Transport struct {
-	self  string
-	peers map[string]*link
+	self    string
+	address func(vm string) (string, bool)
+	tls     *tls.Config
+	traffic *Traffic
+	ctx     context.Context //nolint:containedctx // ends the links
+	mu      sync.Mutex
+	links   map[string]*link
 }
 
 // link is the way to one other VM.
@@ -31,37 +36,48 @@
 	vm     string
 	client peerpbconnect.PeerServiceClient
 	queue  chan []pj.PeerMessage
+	once   sync.Once // starts the stream of messages
 }
 
-// NewTransport returns a transport to all other VMs and a function that closes it.
-func NewTransport(self string, vms []topology.VM, tlsConfig *tls.Config, traffic *Traffic) (*Transport, func()) {
-	t := &Transport{self: self, peers: make(map[string]*link)}
+// NewTransport returns a transport to the VMs that address knows and a function that closes it.
+func NewTransport(self string, address func(vm string) (string, bool), tlsConfig *tls.Config, traffic *Traffic) (*Transport, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{
+		self: self, address: address, tls: tlsConfig, traffic: traffic, ctx: ctx, links: make(map[string]*link),
+	}, cancel
+}
+
+// link returns the way to a VM, or nil if the VM is not known.
+func (t *Transport) link(vm string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.links[vm]; l != nil {
+		return l
+	}
+	address, ok := t.address(vm)
+	if !ok || vm == t.self {
+		return nil
+	}
 	scheme := "http://"
-	if tlsConfig != nil {
+	if t.tls != nil {
 		scheme = "https://"
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	for _, vm := range vms {
-		if vm.Name == self {
-			continue
-		}
-		l := &link{
-			vm:     vm.Name,
-			client: peerpbconnect.NewPeerServiceClient(newClient(vm.Name, tlsConfig, traffic), scheme+vm.Address),
-			queue:  make(chan []pj.PeerMessage, sendQueue),
-		}
-		t.peers[vm.Name] = l
-		go l.run(ctx, self)
+	l := &link{
+		vm:     vm,
+		client: peerpbconnect.NewPeerServiceClient(newClient(vm, t.tls, t.traffic), scheme+address),
+		queue:  make(chan []pj.PeerMessage, sendQueue),
 	}
-	return t, cancel
+	t.links[vm] = l
+	return l
 }
 
 // Send queues messages for a VM without waiting.
 func (t *Transport) Send(vm string, messages []pj.PeerMessage) {
-	l := t.peers[vm]
+	l := t.link(vm)
 	if l == nil {
 		return
 	}
+	l.once.Do(func() { go l.run(t.ctx, t.self) })
 	select {
 	case l.queue <- messages:
 	default:
@@ -122,7 +138,7 @@
 
 // Call runs an operation on another VM. The result is decoded into result.
 func (t *Transport) Call(ctx context.Context, vm, operation string, argument, result any) error {
-	l := t.peers[vm]
+	l := t.link(vm)
 	if l == nil {
 		return pj.Refuse(pj.CodeInternal, "VM %s is not known", vm)
 	}
--- a/internal/server/node/saver.go
+++ b/internal/storage/saver/saver.go
@@ -1,4 +1,5 @@
-package node
+// Package saver writes logs to the disk on a goroutine of its own.
+package saver
 
 import (
 	"sync"
@@ -10,8 +11,8 @@
 	"papayajunction/internal/control/loop"
 )
 
-// saver writes to the disk on its own goroutine, one write at a time.
-type saver struct {
+// Saver writes one batch at a time; done is called on the control goroutine.
+type Saver struct {
 	store  pj.LogStore
 	loop   *loop.Loop
 	jobs   chan saveJob
@@ -24,8 +25,9 @@
 	done   func(error)
 }
 
-func newSaver(store pj.LogStore, l *loop.Loop, set *metrics.Set) (*saver, func()) {
-	s := &saver{
+// New returns a saver and a function that ends it after the last write.
+func New(store pj.LogStore, l *loop.Loop, set *metrics.Set) (*Saver, func()) {
+	s := &Saver{
 		store: store, loop: l, jobs: make(chan saveJob, 1),
 		syncs:  set.GetOrCreateCounter("papaya_disk_syncs_total"),
 		timing: set.GetOrCreateHistogram("papaya_disk_write_seconds"),
@@ -43,16 +45,16 @@
 }
 
 // Save is part of replica.Saver.
-func (s *saver) Save(writes []pj.LogWrite, done func(error)) {
+func (s *Saver) Save(writes []pj.LogWrite, done func(error)) {
 	s.jobs <- saveJob{writes: writes, done: done}
 }
 
 // After is part of replica.Retrier.
-func (s *saver) After(wait time.Duration, run func()) {
+func (s *Saver) After(wait time.Duration, run func()) {
 	s.loop.After(wait, run)
 }
 
-func (s *saver) run() {
+func (s *Saver) run() {
 	for job := range s.jobs {
 		started := time.Now()
 		err := s.store.Save(job.writes)
@@ -62,15 +64,15 @@
 	}
 }
 
-// memoryStore keeps nothing; a VM without a data folder starts anew each time.
-type memoryStore struct{}
+// Memory is a store that keeps nothing; a VM without a data folder starts anew each time.
+type Memory struct{}
 
 // Load is part of pj.LogStore.
-func (*memoryStore) Load(string) (pj.Recovered, error) {
+func (*Memory) Load(string) (pj.Recovered, error) {
 	return pj.Recovered{}, nil
 }
 
 // Save is part of pj.LogStore.
-func (*memoryStore) Save([]pj.LogWrite) error {
+func (*Memory) Save([]pj.LogWrite) error {
 	return nil
 }
