Runs: ends are acknowledged only with the command that commits them

Cause: a look sent while the commit of an end was under way listed that end again; as nothing new was to be committed, it was acknowledged at once. Ruled out: unsynced entries (all three logs held the same 1,483 entries). Change: rows from the first one whose commit is under way on wait for it.

--- /dev/null
+++ b/internal/control/runs/fake_test.go
@@ -0,0 +1,205 @@
+package runs_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/runs"
+	"papayajunction/internal/control/workflow"
+)
+
+// clock is a clock that tests move.
+type clock struct{ now time.Duration }
+
+func (c *clock) Now() time.Duration { return c.now }
+
+// group commits commands when the test says so, or at once.
+type group struct {
+	state   *workflow.State
+	index   uint64
+	held    []func()
+	holding bool
+	serving bool
+}
+
+func (g *group) Serving() bool { return g.serving }
+
+func (g *group) Commit(command []byte, done func(pj.CommitResult)) {
+	run := func() {
+		g.index++
+		done(pj.CommitResult{Value: g.state.Apply(g.index, command)})
+	}
+	if g.holding {
+		g.held = append(g.held, run)
+		return
+	}
+	run()
+}
+
+func (g *group) release() {
+	held := g.held
+	g.held, g.holding = nil, false
+	for _, run := range held {
+		run()
+	}
+}
+
+// order is one order that the controller sent and that the test answers.
+type order struct {
+	kind   string
+	worker string
+	run    pj.RunID
+	start  pj.StartOrder
+	hold   pj.HoldOrder
+	step   pj.StepID
+	names  []string
+
+	answer func(error)
+	looked func(pj.HoldAnswer, error)
+	advise func(pj.Advice, error)
+}
+
+// orders keeps what was sent.
+type orders struct{ sent []*order }
+
+func (o *orders) Start(w pj.CalledWorker, s pj.StartOrder, done func(int64, error)) {
+	o.sent = append(o.sent, &order{kind: "start", worker: w.ID, run: s.Run, start: s, answer: func(err error) { done(0, err) }})
+}
+
+func (o *orders) Stop(w pj.CalledWorker, run pj.RunID, _ uint64, done func(int64, error)) {
+	o.sent = append(o.sent, &order{kind: "stop", worker: w.ID, run: run, answer: func(err error) { done(0, err) }})
+}
+
+func (o *orders) Hold(w pj.CalledWorker, h pj.HoldOrder, done func(pj.HoldAnswer, error)) {
+	o.sent = append(o.sent, &order{kind: "hold", worker: w.ID, hold: h, looked: done})
+}
+
+func (o *orders) Pace(w pj.CalledWorker, run pj.RunID, _ int, _ uint64, done func(int64, error)) {
+	o.sent = append(o.sent, &order{kind: "pace", worker: w.ID, run: run, answer: func(err error) { done(0, err) }})
+}
+
+func (o *orders) Advise(_ string, step pj.StepID, workers []string, _ time.Duration, done func(pj.Advice, error)) {
+	o.sent = append(o.sent, &order{kind: "advise", step: step, names: workers, advise: done})
+}
+
+// take removes and returns the orders of a kind.
+func (o *orders) take(kind string) []*order {
+	var taken, rest []*order
+	for _, s := range o.sent {
+		if s.kind == kind {
+			taken = append(taken, s)
+		} else {
+			rest = append(rest, s)
+		}
+	}
+	o.sent = rest
+	return taken
+}
+
+type events struct{}
+
+func (events) Decided(string, ...any)               {}
+func (events) Waited(*pj.Workflow, time.Duration)   {}
+func (events) Finished(*pj.Workflow, time.Duration) {}
+func (events) Count(string)                         {}
+
+// cell is a controller with its surroundings.
+type cell struct {
+	is     *is.I
+	clock  *clock
+	group  *group
+	orders *orders
+	c      *runs.Controller
+	finals int64
+}
+
+const (
+	bornAt   = int64(1000)
+	testTime = int64(1_700_000_000_000)
+)
+
+var errUnanswered = errors.New("no answer")
+
+// newCell returns a cell with workers of 8 cores each that have answered their first look.
+func newCell(t *testing.T, workers int) *cell {
+	t.Helper()
+	state := workflow.NewState()
+	x := &cell{is: is.New(t), clock: &clock{now: time.Second}, group: &group{state: state, serving: true}, orders: &orders{}}
+	rules := pj.Ruleset{
+		Version: 1, Document: []byte("{}"), Pools: []string{"pool"},
+		Teams: []pj.Team{{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: pj.NewResources(1000, 1000, 10, 0)}}},
+	}
+	rules.Index()
+	x.lead(1)
+	x.c.Configure(rules, func(int64, error) {})
+	for i := range workers {
+		x.c.Announce(testWorker(fmt.Sprintf("w%d", i)), func(err error) { x.is.NoErr(err) })
+	}
+	x.c.Flush()
+	x.c.Tick()
+	x.lookAll(nil)
+	return x
+}
+
+func testWorker(id string) pj.CalledWorker {
+	return pj.CalledWorker{
+		ID: id, Born: bornAt, Sequence: 1, Pool: "pool", Address: id + ":1", Zone: "zone-1", Rack: "r1",
+		Capacity: pj.NewResources(8, 64, 0, 0),
+	}
+}
+
+// lead starts the controller of a new term.
+func (x *cell) lead(term uint64) {
+	x.orders.sent = nil
+	x.c = runs.New(runs.Options{
+		Term: term, State: x.group.state, Group: x.group, Clock: x.clock,
+		Unix:   func() int64 { return testTime + x.clock.now.Milliseconds() },
+		Orders: x.orders, Events: events{},
+	})
+}
+
+// pass moves time in small steps and flushes.
+func (x *cell) pass(span time.Duration) {
+	const step = 50 * time.Millisecond
+	for span > 0 {
+		x.clock.now += min(span, step)
+		span -= step
+		x.c.Tick()
+		x.c.Flush()
+	}
+}
+
+// lookAll answers all looks with the rows that the test names by worker.
+func (x *cell) lookAll(rows map[string]pj.HoldAnswer) {
+	for _, o := range x.orders.take("hold") {
+		a := rows[o.worker]
+		a.Born, a.ClockMS = bornAt, x.clock.now.Milliseconds()+1
+		o.looked(a, nil)
+	}
+	x.c.Flush()
+}
+
+// submit hands in a workflow of one step.
+func (x *cell) submit(id string, step pj.Step) {
+	x.submitAll(pj.Workflow{ID: id, Queue: "q", Workspace: "team", Pool: "pool", Spec: "s", Steps: []pj.Step{step}, MaxAttempts: 2})
+}
+
+func (x *cell) submitAll(w pj.Workflow) {
+	x.c.Submit(w, func(err error) { x.is.NoErr(err) })
+	x.c.Flush()
+}
+
+func (x *cell) state(id string) pj.WorkflowState {
+	s, err := x.c.Status(id, "team")
+	x.is.NoErr(err)
+	return s
+}
+
+func runID(id string, index, run int) pj.RunID {
+	return pj.RunID{Task: pj.TaskID{StepID: pj.StepID{Workflow: id}, Index: index}, Run: run}
+}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -202,6 +202,7 @@
 	w.heard = true
 	w.heardAt = now
 	w.clockMS, w.clockAt = a.ClockMS, now
+	c.setUsable(now, w)
 	c.readRows(now, w, sent, a)
 	if _, waits := c.batch.acks[w]; !waits {
 		c.look(w)
@@ -246,18 +247,9 @@
 		c.readRunning(now, w, row)
 	}
 	for i := range a.Finished {
-		row := &a.Finished[i]
-		listed[row.Run] = struct{}{}
-		if v := w.runs[row.Run]; v != nil {
-			c.end(v, row.How, row.Saved)
-		}
-		if row.Number > w.acked {
-			if c.batch.acks == nil {
-				c.batch.acks = make(map[*worker]int64)
-			}
-			c.batch.acks[w] = max(c.batch.acks[w], row.Number)
-		}
+		listed[a.Finished[i].Run] = struct{}{}
 	}
+	c.readFinished(w, a.Finished)
 	if a.Partial {
 		return
 	}
@@ -268,6 +260,27 @@
 	}
 }
 
+// readFinished commits the listed ends. They are acknowledged once they are committed, those that an earlier
+// command still commits with that command.
+func (c *Controller) readFinished(w *worker, rows []pj.EndRow) {
+	for i := range rows {
+		row := &rows[i]
+		v := w.runs[row.Run]
+		if v != nil && v.ending {
+			return
+		}
+		if v != nil {
+			c.end(v, row.How, row.Saved)
+		}
+		if row.Number > w.acked {
+			if c.batch.acks == nil {
+				c.batch.acks = make(map[*worker]int64)
+			}
+			c.batch.acks[w] = max(c.batch.acks[w], row.Number)
+		}
+	}
+}
+
 func (c *Controller) readRunning(now time.Duration, w *worker, row *pj.RunningRow) {
 	v := w.runs[row.Run]
 	if v == nil {
