Cluster: a lost leader is replaced after 450 ms, by a VM with short ways

Then advice came late: until the entries had asked the new leader for rules it had no VM to ask, and it asked far VMs as often as near ones. When the lone VM of the other region led, every commit and order crossed the regions twice. Ruled out: workers (all had answered the new leader 30 ms after its election). Change: heartbeats every 100 ms, elections after 450 ms; tries of 500 ms; the leader asks for advice too, and learns how far each VM is; VMs of the region with most zones stand for election first and get the leadership back after 5 s.

--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -26,9 +27,10 @@
 	Role          string
 	Zone          string
 	Region        string
-	ListenFront   string // entries: where callers connect
-	ListenReady   string // entries: where the balancer asks
-	ListenControl string // replicas: where workers and operators connect
+	Zones         []string // all availability zones, as zone=region
+	ListenFront   string   // entries: where callers connect
+	ListenReady   string   // entries: where the balancer asks
+	ListenControl string   // replicas: where workers and operators connect
 	IP            string
 	PeerPort      int // the same on all VMs
 	MetricsPort   int
@@ -69,6 +71,7 @@
 	fs.StringVar(&s.Role, "role", s.Role, "entry or replica")
 	fs.StringVar(&s.Zone, "zone", s.Zone, "availability zone of this VM")
 	fs.StringVar(&s.Region, "region", s.Region, "region of this VM")
+	fs.Var((*stringList)(&s.Zones), "zones", "an availability zone as zone=region; repeat for each")
 	fs.StringVar(&s.ListenFront, "listen_front", s.ListenFront, "entries: IP and port for callers")
 	fs.StringVar(&s.ListenReady, "listen_ready", s.ListenReady, "entries: IP and port for the balancer")
 	fs.StringVar(&s.ListenControl, "listen_control", s.ListenControl, "replicas: IP and port for workers and operators")
@@ -142,6 +145,22 @@
 	return errors.Join(faults...)
 }
 
+// Rank returns 0 for VMs of the region with most availability zones, which lead if they can because most
+// calls have the shortest way there, and 1 for others.
+func (s *Cluster) Rank() int {
+	zones := make(map[string]int)
+	most := 0
+	for _, z := range s.Zones {
+		_, region, _ := strings.Cut(z, "=")
+		zones[region]++
+		most = max(most, zones[region])
+	}
+	if zones[s.Region] < most {
+		return 1
+	}
+	return 0
+}
+
 // PeerAddress returns where the other VMs reach this one.
 func (s *Cluster) PeerAddress() string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -10,15 +10,16 @@
 
 // Bounds of questions about a step.
 const (
-	nameMost      = 30                     // workers named in one question
-	nameLeast     = 12                     // workers named in the first question about a step, if there are so many
-	nameSpare     = 1.6                    // how many more workers are named than the step probably needs
-	firstShare    = 0.5                    // part of the workers that is taken to be allowed before anything is known
-	shareWeight   = 0.1                    // of one answer in the part that is learned
-	ticketSlack   = 250 * time.Millisecond // from an answer's way and a start's way
-	backlogMost   = 1500 * time.Millisecond
-	askSlack      = time.Second // on top of the time that an answer should take
-	askerRecovery = time.Second // after a question without an answer
+	nameMost       = 30                     // workers named in one question
+	nameLeast      = 12                     // workers named in the first question about a step, if there are so many
+	nameSpare      = 1.6                    // how many more workers are named than the step probably needs
+	firstShare     = 0.5                    // part of the workers that is taken to be allowed before anything is known
+	shareWeight    = 0.1                    // of one answer in the part that is learned
+	ticketSlack    = 250 * time.Millisecond // from an answer's way and a start's way
+	distanceWeight = 0.2                    // of one answer in an asker's distance
+	backlogMost    = 1500 * time.Millisecond
+	askSlack       = time.Second // on top of the time that an answer should take
+	askerRecovery  = time.Second // after a question without an answer
 )
 
 // ticket lets the tasks of a step start on one life of a worker for some time.
@@ -33,6 +34,7 @@
 	vm        string
 	busyUntil time.Duration
 	notBefore time.Duration
+	distance  time.Duration // what an answer takes on top of the policy's own time, as seen so far
 }
 
 // SetAskers names the VMs that can ask for advice now.
@@ -50,20 +52,28 @@
 	}
 }
 
-// pickAsker returns the VM that would answer first, or nil if all are too busy.
+// pickAsker returns the VM whose answer would be here first, or nil if all are too busy.
 func (c *Controller) pickAsker(now time.Duration) *asker {
 	var best *asker
+	var bestAt time.Duration
 	for _, a := range c.askers {
 		if now < a.notBefore || a.busyUntil > now+backlogMost {
 			continue
 		}
-		if best == nil || a.busyUntil < best.busyUntil || (a.busyUntil == best.busyUntil && a.vm < best.vm) {
-			best = a
+		at := max(a.busyUntil, now) + a.distance
+		if best == nil || at < bestAt || (at == bestAt && a.vm < best.vm) {
+			best, bestAt = a, at
 		}
 	}
 	return best
 }
 
+// answered learns how far away a VM is from an answer that was expected at a.busyUntil when it was asked for.
+func (a *asker) answered(now, expected time.Duration) {
+	late := max(now-expected, 0)
+	a.distance += time.Duration(distanceWeight * float64(late-a.distance))
+}
+
 // ask asks which of the workers may run a step.
 func (c *Controller) ask(now time.Duration, u *unit, names []string) {
 	a := c.pickAsker(now)
@@ -78,12 +88,14 @@
 	for _, id := range names {
 		lives[id] = c.workers[id].Born
 	}
-	c.options.Orders.Advise(a.vm, u.id, names, a.busyUntil-now+askSlack, func(answer pj.Advice, err error) {
+	expected := a.busyUntil
+	c.options.Orders.Advise(a.vm, u.id, names, expected-now+askSlack, func(answer pj.Advice, err error) {
 		u.asking = false
 		c.dirty = true
 		if c.closed {
 			return
 		}
+		a.answered(c.options.Clock.Now(), expected)
 		c.advised(now, u, a, lives, answer, err)
 	})
 }
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -25,8 +25,8 @@
 
 // Times of a VM.
 const (
-	syncInterval = 500 * time.Millisecond // between two questions for newer rules
-	tryTimeout   = 900 * time.Millisecond // of one try to reach the leader
+	syncInterval = 400 * time.Millisecond // between two questions for newer rules
+	tryTimeout   = 500 * time.Millisecond // of one try to reach the leader; calls are idempotent and tried again
 	callMost     = 2500 * time.Millisecond
 	finalsMost   = 4096 // final states of workflows that are remembered
 )
@@ -34,7 +34,7 @@
 // Options configure a VM.
 type Options struct {
 	Address    string // where the other VMs reach this one, an IP and port; it is the VM's name too
-	Zone       string
+	Rank       int    // VMs of a lower rank lead if they can
 	Replica    bool
 	DataDir    string
 	Bootstrap  bool // the system starts for the first time
@@ -205,7 +205,7 @@
 	v.syncing.Lock()
 	defer v.syncing.Unlock()
 	asked := v.clock.Now()
-	request := syncRequest{VM: v.options.Address, Version: v.book.Rules().Version, Have: v.book.Rules().Document != nil}
+	request := syncRequest{VM: v.options.Address, Rank: v.options.Rank, Version: v.book.Rules().Version, Have: v.book.Rules().Document != nil}
 	var reply syncReply
 	if err := v.call(ctx, opSync, request, &reply); err != nil {
 		return err
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -17,7 +17,8 @@
 	joinInterval  = 300 * time.Millisecond
 	memberAlive   = 1500 * time.Millisecond // a member heard this recently counts as alive
 	joinerAlive   = 2 * time.Second
-	votersMost    = 5 // further replicas receive the log and wait for a place
+	leadLeast     = 5 * time.Second // a leader stays at least this long before it prefers another one
+	votersMost    = 5               // further replicas receive the log and wait for a place
 )
 
 // genesisIndex and genesisTerm are the place of the group's first snapshot.
@@ -69,7 +70,7 @@
 		}
 	}
 	r.vm.log("member_started", "incarnation", r.id, "recovered", recovered.Snapshot != nil, "entries", len(recovered.Entries))
-	r.loop.Post(func() { r.group = r.host.Add(Group, 0, r.state, recovered, r.leadChanged, nil) })
+	r.loop.Post(func() { r.group = r.host.Add(Group, r.vm.options.Rank, r.state, recovered, r.leadChanged, nil) })
 	for lead.Pause(ctx, joinInterval) {
 		r.askToJoin(ctx)
 	}
@@ -146,6 +147,7 @@
 	if !r.group.Serving() {
 		return
 	}
+	r.preferLowerRank(now)
 	m := r.group.Membership()
 	for id, at := range r.joiners {
 		if now > at+joinerAlive || slices.Contains(m.Voters, id) {
@@ -201,6 +203,41 @@
 	return ""
 }
 
+// preferLowerRank hands the leadership to a VM of a lower rank that has been there for some time.
+func (r *replica) preferLowerRank(now time.Duration) {
+	if now < r.ledSince+leadLeast {
+		return
+	}
+	for _, id := range r.group.Membership().Voters {
+		known, ok := r.ranks[control.VMOf(id)]
+		if !ok || known.rank >= r.vm.options.Rank || now < known.since+leadLeast || now > known.heard+askerAlive {
+			continue
+		}
+		if r.group.Core().CaughtUp(id) && r.group.Core().HeardWithin(now, id, memberAlive) {
+			r.vm.log("lead_handed_over", "to", id, "rank", known.rank)
+			_ = r.group.Core().Transfer(now, id) // fails if one is under way already
+			return
+		}
+	}
+}
+
+// peerRank is the rank that another VM told, and since when it has been heard without a break.
+type peerRank struct {
+	rank  int
+	since time.Duration
+	heard time.Duration
+}
+
+// hearRank takes in the rank of a VM that asked for rules.
+func (r *replica) hearRank(now time.Duration, vm string, rank int) {
+	known, ok := r.ranks[vm]
+	if !ok || now > known.heard+askerAlive {
+		known.since = now
+	}
+	known.rank, known.heard = rank, now
+	r.ranks[vm] = known
+}
+
 // othersAlive reports whether all voters but one answer.
 func (r *replica) othersAlive(now time.Duration, m pj.Membership, except string) bool {
 	for _, id := range m.Voters {
--- a/internal/server/cluster/messages.go
+++ b/internal/server/cluster/messages.go
@@ -35,6 +35,7 @@
 // syncRequest asks for rules newer than Version.
 type syncRequest struct {
 	VM      string `json:"vm"`
+	Rank    int    `json:"rank"`
 	Version int64  `json:"version"`
 	Have    bool   `json:"have"`
 }
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -47,7 +47,9 @@
 
 func (r *replica) runSync(ctx context.Context, s syncRequest) (syncReply, error) {
 	return leading(ctx, r, func(reply func(syncReply, error)) {
-		r.askers[s.VM] = r.vm.clock.Now()
+		now := r.vm.clock.Now()
+		r.askers[s.VM] = now
+		r.hearRank(now, s.VM, s.Rank)
 		rules := r.state.Rules()
 		answer := syncReply{Version: rules.Version, Members: r.memberVMs()}
 		if rules.Document != nil && (!s.Have || s.Version < rules.Version) {
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -20,8 +20,8 @@
 // Times of the control side.
 const (
 	tickInterval = 20 * time.Millisecond
-	heartbeat    = 200 * time.Millisecond
-	election     = 800 * time.Millisecond
+	heartbeat    = 100 * time.Millisecond // short, because urgent work waits while there is no leader
+	election     = 450 * time.Millisecond
 	workInterval = 60 * time.Millisecond   // between two looks at leases and deadlines
 	askerAlive   = 1500 * time.Millisecond // a VM that asked for rules within this time can ask for advice
 )
@@ -40,6 +40,8 @@
 	controller *runs.Controller         // nil unless this VM leads
 	askers     map[string]time.Duration // VMs that asked for rules, and when
 	joiners    map[string]time.Duration // members that asked to join, and when
+	ranks      map[string]peerRank
+	ledSince   time.Duration
 	workedAt   time.Duration
 }
 
@@ -47,6 +49,7 @@
 	r := &replica{
 		vm: v, loop: loop.New(), state: workflow.NewState(),
 		askers: make(map[string]time.Duration), joiners: make(map[string]time.Duration),
+		ranks: make(map[string]peerRank),
 	}
 	store, closeStore, err := boltlog.New(v.options.DataDir)
 	if err != nil {
@@ -102,15 +105,17 @@
 	r.maintainMembers(now)
 }
 
-// liveAskers returns the VMs that can ask for advice: those that asked for rules lately.
+// liveAskers returns the VMs that can ask for advice: this one and those that asked for rules lately.
 func (r *replica) liveAskers(now time.Duration) []string {
-	var vms []string
+	vms := []string{r.vm.options.Address}
 	for vm, at := range r.askers {
 		if now > at+askerAlive {
 			delete(r.askers, vm)
 			continue
 		}
-		vms = append(vms, vm)
+		if vm != r.vm.options.Address {
+			vms = append(vms, vm)
+		}
 	}
 	return vms
 }
@@ -135,6 +140,8 @@
 	}
 	r.vm.log("lead_gained", "term", term, "applied", r.group.Applied())
 	clear(r.joiners)
+	clear(r.ranks)
+	r.ledSince = r.vm.clock.Now()
 	r.controller = runs.New(runs.Options{
 		Term: term, State: r.state, Group: r.group, Clock: r.vm.clock,
 		Unix:   func() int64 { return time.Now().UnixMilli() },
