Runs: upper limits and room are kept for what waits longest

Logs: their workspace was at its upper limit (held_by_limit), which less urgent work of the same workspace took as soon as some came free; long questions for advice stood before short ones on every VM; workers half free for a gang were filled with small tasks. Ruled out: room (13 of 13 places were there for most of an 18 s wait). Change: what the limit holds back is served before work of its workspace behind it; less urgent work leaves the recent peak of urgent use free within the limit; a gang keeps what is free on as many workers as it lacks; gangs ask about all workers, with spares; long questions leave one VM in four idle; members of a gang that is done are not stopped.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -11,13 +11,16 @@
 // Bounds of questions about a step.
 const (
 	nameMost       = 30                     // workers named in one question
-	nameLeast      = 12                     // workers named in the first question about a step, if there are so many
+	nameLeast      = 12                     // workers named in a first question, if there are so many
+	namePart       = 0.35                   // of the decision's own time that further names may add
 	nameSpare      = 1.6                    // how many more workers are named than the step probably needs
 	firstShare     = 0.5                    // part of the workers that is taken to be allowed before anything is known
 	shareWeight    = 0.1                    // of one answer in the part that is learned
 	ticketSlack    = 250 * time.Millisecond // from an answer's way and a start's way
 	distanceWeight = 0.2                    // of one answer in an asker's distance
-	backlogMost    = 1500 * time.Millisecond
+	backlogMost    = 300 * time.Millisecond // that a short question may wait behind others
+	longQuestion   = 50 * time.Millisecond
+	idleReserve    = 4           // one VM in so many is kept free of long questions
 	askSlack       = time.Second // on top of the time that an answer should take
 	askerRecovery  = time.Second // after a question without an answer
 )
@@ -52,12 +55,20 @@
 	}
 }
 
-// pickAsker returns the VM whose answer would be here first, or nil if all are too busy.
-func (c *Controller) pickAsker(now time.Duration) *asker {
+// pickAsker returns the VM whose answer would be here first, or nil if all are too busy. Long questions
+// wait for an idle VM and leave some idle, so that short ones needn't wait behind them.
+func (c *Controller) pickAsker(now, cost time.Duration) *asker {
+	backlog := backlogMost
+	if cost >= longQuestion {
+		if c.idleAskers(now) <= max(1, len(c.askers)/idleReserve) && len(c.askers) > 1 {
+			return nil
+		}
+		backlog = 0
+	}
 	var best *asker
 	var bestAt time.Duration
 	for _, a := range c.askers {
-		if now < a.notBefore || a.busyUntil > now+backlogMost {
+		if now < a.notBefore || a.busyUntil > now+backlog {
 			continue
 		}
 		at := max(a.busyUntil, now) + a.distance
@@ -68,6 +79,16 @@
 	return best
 }
 
+func (c *Controller) idleAskers(now time.Duration) int {
+	idle := 0
+	for _, a := range c.askers {
+		if now >= a.notBefore && now >= a.busyUntil {
+			idle++
+		}
+	}
+	return idle
+}
+
 // answered learns how far away a VM is from an answer that was expected at a.busyUntil when it was asked for.
 func (a *asker) answered(now, expected time.Duration) {
 	late := max(now-expected, 0)
@@ -76,12 +97,15 @@
 
 // ask asks which of the workers may run a step.
 func (c *Controller) ask(now time.Duration, u *unit, names []string) {
-	a := c.pickAsker(now)
-	if a == nil || len(names) == 0 || u.asking {
+	if len(names) == 0 || u.asking {
 		return
 	}
 	policy := u.record.Workflow.Advice
 	cost := time.Duration((policy.DecisionMS + policy.PerWorkerMS*float64(len(names))) * float64(time.Millisecond))
+	a := c.pickAsker(now, cost)
+	if a == nil {
+		return
+	}
 	a.busyUntil = max(a.busyUntil, now) + cost
 	u.asking = true
 	lives := make(map[string]int64, len(names))
@@ -171,10 +195,13 @@
 	slices.SortFunc(choices, func(a, b choice) int { return b.room - a.room })
 	share := p.c.share(u.record.Workflow.Queue)
 	want := max(nameLeast, int(math.Ceil(float64(tasks)*nameSpare/share)))
+	if policy := u.record.Workflow.Advice; policy.PerWorkerMS > 0 {
+		want = max(want, int(namePart*policy.DecisionMS/policy.PerWorkerMS))
+	}
 	want = min(want, nameMost, len(choices))
 	names := make([]string, 0, want)
 	for _, ch := range choices[:want] {
-		if len(u.asked) > 0 && ch.room == 0 {
+		if len(u.asked) > 0 && ch.room == 0 && !u.spec.Gang {
 			break // asking again pays only for workers that could start something now
 		}
 		names = append(names, ch.id)
--- a/internal/control/runs/assign.go
+++ b/internal/control/runs/assign.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -21,12 +22,13 @@
 	now     time.Duration
 	workers []*worker
 	claimed map[*worker]pj.Resources
-	gangs   int // gangs that keep room
+	gangs   int              // gangs that keep room
+	limited map[string]*unit // by workspace: the unit that its upper limit holds back; those behind it wait too
 }
 
 // decide starts what can start.
 func (c *Controller) decide(now time.Duration) {
-	p := &plan{c: c, now: now, claimed: make(map[*worker]pj.Resources)}
+	p := &plan{c: c, now: now, claimed: make(map[*worker]pj.Resources), limited: make(map[string]*unit)}
 	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
 		if w := c.workers[id]; w.accepts(now) {
 			p.workers = append(p.workers, w)
@@ -100,9 +102,9 @@
 
 // serveTasks starts as many tasks of a unit as possible.
 func (p *plan) serveTasks(u *unit) {
-	c := p.c
 	for len(u.pending) > 0 {
-		if !c.ledger.Allows(u.record.Workflow.Workspace, u.amount) {
+		if !p.allows(u, u.amount) {
+			p.askFirst(u)
 			return
 		}
 		w := p.best(u, func(w *worker) bool {
@@ -122,6 +124,28 @@
 	p.askForTasks(u)
 }
 
+// allows reports whether the workspace's upper limit lets a unit start more. What is held back by the limit
+// is served before work of the same workspace that stands behind it, unless it could never start.
+func (p *plan) allows(u *unit, amount pj.Resources) bool {
+	workspace := u.record.Workflow.Workspace
+	if p.limited[workspace] != nil {
+		return false
+	}
+	headroom := p.c.demand.headroom(p.now, workspace, u.record.Workflow.Priority)
+	if p.c.ledger.Allows(workspace, amount.Add(headroom)) {
+		return true
+	}
+	if amount.FitsWhereUsed(p.c.ledger.Limit(workspace)) {
+		p.limited[workspace] = u
+	}
+	if !u.limited {
+		u.limited = true
+		p.c.options.Events.Decided("held_by_limit", "workflow", u.id.Workflow, "step", u.id, "workspace", workspace,
+			"needs", amount, "headroom", headroom, "uses", p.c.ledger.Use(workspace), "limit", p.c.ledger.Limit(workspace))
+	}
+	return false
+}
+
 // askForTasks keeps room on workers whose tickets have to be renewed, and asks for those and for more.
 func (p *plan) askForTasks(u *unit) {
 	stale := make(map[string]struct{})
@@ -153,9 +177,10 @@
 
 // serveGang starts all tasks of a gang, or keeps what room there is for it.
 func (p *plan) serveGang(u *unit) {
-	c := p.c
 	n := len(u.pending)
-	if !c.ledger.Allows(u.record.Workflow.Workspace, u.amount.Times(int64(n))) {
+	allowed := p.allows(u, u.amount.Times(int64(n)))
+	if !allowed && p.limited[u.record.Workflow.Workspace] != u {
+		p.askFirst(u)
 		return
 	}
 	before := maps.Clone(p.claimed)
@@ -166,7 +191,7 @@
 			stale[w.ID] = struct{}{}
 		}
 	}
-	if len(places) == n && len(stale) == 0 {
+	if allowed && len(places) == n && len(stale) == 0 {
 		p.claimed = before
 		pending := u.pending
 		u.pending = nil
@@ -176,20 +201,73 @@
 		}
 		return
 	}
-	if len(places) < n && (p.gangs >= claimGangs || !p.couldFit(u, n)) {
+	switch {
+	case len(places) < n && (p.gangs >= claimGangs || !p.couldFit(u, n)):
 		p.claimed = before
-	} else {
+	case len(places) < n:
 		p.gangs++
+		p.gatherRoom(u, n-len(places))
 	}
 	if u.record.Workflow.Advice == nil {
 		return
 	}
-	if len(places) < n {
-		stale = nil // their tickets would be too old once there is room for all
+	if len(places) < n || !allowed {
+		stale = nil // their tickets would be too old once everything is there
+	} else {
+		p.addSpares(u, stale)
 	}
 	p.askFor(u, stale, n-len(places))
 }
 
+// askFirst asks about a unit for the first time, so that the workers are known when it may start.
+func (p *plan) askFirst(u *unit) {
+	if u.record.Workflow.Advice != nil && len(u.asked) == 0 {
+		p.askFor(u, nil, len(u.pending))
+	}
+}
+
+// gatherRoom keeps what is free on as many further workers, so that it grows to a member's room as tasks end there.
+func (p *plan) gatherRoom(u *unit, members int) {
+	type choice struct {
+		w    *worker
+		part float64
+	}
+	var choices []choice
+	for _, w := range p.workers {
+		if u.allowed(w) && p.suits(w, u) && u.amount.FitsWhereUsed(w.Capacity) {
+			choices = append(choices, choice{w: w, part: partFree(p.free(w), u.amount)})
+		}
+	}
+	slices.SortStableFunc(choices, func(a, b choice) int { return cmp.Compare(b.part, a.part) })
+	for _, ch := range choices[:min(members, len(choices))] {
+		p.claim(ch.w, p.free(ch.w).Min(u.amount).Max(pj.Resources{}))
+	}
+}
+
+// partFree returns which part of an amount is free, in the dimension that lacks most.
+func partFree(free, amount pj.Resources) float64 {
+	part := 1.0
+	for d := range amount {
+		if amount[d] > 0 {
+			part = min(part, float64(max(free[d], 0))/float64(amount[d]))
+		}
+	}
+	return part
+}
+
+// addSpares adds further workers that the policy allows and that have room, because urgent work may take
+// some of the chosen places before the answer is there.
+func (p *plan) addSpares(u *unit, names map[string]struct{}) {
+	for _, w := range p.workers {
+		if len(names) >= nameMost {
+			return
+		}
+		if _, fresh := u.fresh(p.now, w); !fresh && u.allowed(w) && p.suits(w, u) && p.fits(w, u, 0) {
+			names[w.ID] = struct{}{}
+		}
+	}
+}
+
 // placeGang claims room for as many members of a gang as possible and returns where.
 func (p *plan) placeGang(u *unit, n int) []*worker {
 	var places []*worker
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -70,6 +70,7 @@
 
 	ledger  *fairness.Ledger
 	blame   *blame.Record
+	demand  *demand
 	version int64 // of the rules that the ledger was set from
 
 	workers map[string]*worker
@@ -115,6 +116,7 @@
 		since:   options.Clock.Now(),
 		ledger:  fairness.New(),
 		blame:   blame.New(),
+		demand:  newDemand(),
 		workers: make(map[string]*worker),
 		units:   make(map[pj.StepID]*unit),
 
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -54,6 +54,7 @@
 	u.live[v.id.Task.Index] = v
 	u.onWorker[v.worker.ID]++
 	c.ledger.Charge(u.record.Workflow.Workspace, u.amount)
+	c.demand.add(c.options.Clock.Now(), u.record.Workflow.Workspace, u.record.Workflow.Priority, u.amount)
 }
 
 func (c *Controller) release(v *run) {
@@ -63,6 +64,7 @@
 	delete(u.live, v.id.Task.Index)
 	u.onWorker[v.worker.ID]--
 	c.ledger.Refund(u.record.Workflow.Workspace, u.amount)
+	c.demand.add(c.options.Clock.Now(), u.record.Workflow.Workspace, u.record.Workflow.Priority, pj.Resources{}.Sub(u.amount))
 	c.dirty = true
 }
 
@@ -240,8 +242,13 @@
 
 // finished stops what still runs of a workflow in a final state, and reports it once.
 func (c *Controller) finished(r *workflow.Record) {
-	c.stopAll(r, "the workflow has ended")
-	if r.Live() == 0 {
+	known := len(c.byWorkflow[r.Workflow.ID]) > 0
+	if r.State() == pj.WorkflowComplete {
+		c.dropUnits(r) // what still runs are members of gangs, which end together
+	} else {
+		c.stopAll(r, "the workflow is "+string(r.State()))
+	}
+	if known && r.Live() == 0 {
 		c.options.Events.Decided("workflow_ended", "workflow", r.Workflow.ID, "queue", r.Workflow.Queue,
 			"workspace", r.Workflow.Workspace, "state", r.State(), "reason", r.Failed)
 		c.options.Events.Finished(&r.Workflow, time.Duration(c.options.Unix()-r.Workflow.AcceptedAt)*time.Millisecond)
@@ -252,14 +259,19 @@
 // stopAll takes a workflow out of the queues and stops its runs.
 func (c *Controller) stopAll(r *workflow.Record, why string) {
 	for _, u := range c.byWorkflow[r.Workflow.ID] {
-		c.dequeue(u)
 		for _, v := range u.live {
 			if v.stopping == "" {
 				c.stop(v, why)
 			}
 		}
 	}
+	c.dropUnits(r)
+}
+
+// dropUnits takes a workflow out of the queues.
+func (c *Controller) dropUnits(r *workflow.Record) {
 	for _, u := range slices.Clone(c.byWorkflow[r.Workflow.ID]) {
+		c.dequeue(u)
 		c.forget(u)
 	}
 }
--- a/internal/control/runs/unit.go
+++ b/internal/control/runs/unit.go
@@ -22,9 +22,10 @@
 	since    time.Duration // when its tasks could first start
 	due      time.Duration // when the workflow should be complete
 
-	asking bool
-	asked  map[string]bool // workers that the policy was asked about
-	good   map[string]*ticket
+	limited bool // the workspace's upper limit has held it back
+	asking  bool
+	asked   map[string]bool // workers that the policy was asked about
+	good    map[string]*ticket
 }
 
 // unit returns the unit of a step and makes it if there is none.
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -299,8 +299,14 @@
 	if row.Saved != "" {
 		v.saved = row.Saved
 	}
-	if v.stopping != "" && now >= v.stopSentAt+stopRetry {
-		c.sendStop(v)
+	step := v.unit.record.Step(v.unit.id)
+	switch {
+	case v.stopping != "":
+		if now >= v.stopSentAt+stopRetry {
+			c.sendStop(v)
+		}
+	case step == nil || step.Done():
+		c.stop(v, "its step is done")
 	}
 }
 
