Replica: a VM whose disk hangs gives up the leadership

Cause: while a write is under way nothing is applied, but heartbeats go on, so a leader with a hanging disk kept its lease for as long as the disk hung. Change: a write of more than 0.8 s makes the VM's members passive until it ends. Test: 'a leader whose disk hangs gives way', seen to fail without the limit.

--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -18,6 +18,7 @@
 	snapshotEvery = 2000 // applied entries between snapshots
 	keepEntries   = 500  // entries kept before a snapshot for members that are a little behind
 	retryWrite    = time.Second
+	writeStall    = 800 * time.Millisecond // a write that takes longer makes this VM's members passive until it ends
 )
 
 // ErrOutcomeUnknown is given to proposals whose entry may or may not become committed.
@@ -48,6 +49,8 @@
 	names   []string
 	writing bool
 	failing bool
+	stalled bool
+	since   time.Duration // when the write under way began
 }
 
 // New returns a host without groups.
@@ -130,11 +133,24 @@
 // Tick advances time in all groups.
 func (h *Host) Tick() {
 	now := h.options.Clock.Now()
+	if h.writing && !h.failing && !h.stalled && now > h.since+writeStall {
+		h.stall()
+	}
 	for _, name := range h.names {
 		h.groups[name].core.Tick(now)
 	}
 }
 
+// stall makes this VM's members passive, because a leader whose disk hangs keeps its lease and decides nothing.
+func (h *Host) stall() {
+	h.stalled = true
+	h.setPassive(true)
+	if h.options.OnFault != nil {
+		h.options.OnFault(fmt.Errorf("a write has taken more than %v", writeStall))
+	}
+	h.notice()
+}
+
 // Flush sends, stores and applies whatever is ready. It is called after every event.
 func (h *Host) Flush() {
 	for range 64 {
@@ -183,13 +199,14 @@
 }
 
 func (h *Host) save(writes []pj.LogWrite, readies map[*Group]quorum.Ready) {
+	h.since = h.options.Clock.Now()
 	h.options.Saver.Save(writes, func(err error) {
 		if err != nil {
 			h.writeFailed(err, writes, readies)
 			return
 		}
-		if h.failing {
-			h.failing = false
+		if h.failing || h.stalled {
+			h.failing, h.stalled = false, false
 			h.setPassive(false)
 		}
 		h.writing = false
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -48,6 +48,8 @@
 type disk struct {
 	held  pj.Recovered
 	full  bool
+	hangs bool
+	hung  func() // ends the write that hangs
 	retry func()
 }
 
@@ -59,6 +61,13 @@
 		done(errFull)
 		return
 	}
+	if d.hangs {
+		d.hung = func() {
+			d.hangs = false
+			d.Save(writes, done)
+		}
+		return
+	}
 	for _, w := range writes {
 		d.store(w)
 	}
@@ -227,6 +236,17 @@
 			n.run(4 * time.Second)
 			is.Equal(l.state.commands, n.leader().state.commands)
 		},
+		"a leader whose disk hangs gives way": func(is *is.I, n *net) {
+			l := n.leader()
+			l.disk.hangs = true
+			l.group.Commit([]byte("lost or not"), func(pj.CommitResult) {})
+			n.run(3 * time.Second)
+			is.True(n.leader() != nil && n.leader() != l)
+			is.True(n.commit("after"))
+			l.disk.hung()
+			n.run(4 * time.Second)
+			is.Equal(l.state.commands, n.leader().state.commands)
+		},
 		"an empty disk comes back without a vote until it is admitted": func(is *is.I, n *net) {
 			var name string
 			for _, candidate := range n.names {
