Membership: silent voters leave a group that has enough others

Change: the next change of the members is planned by a pure function; a silent voter leaves a group of more than three; a VM that no leader knows asks to join again; a leader waits a second before silence counts. Test: TestPlanChange ('a silent fourth voter leaves' fails on the code before, which had no such step).

--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -17,8 +17,8 @@
 	joinInterval  = 300 * time.Millisecond
 	memberAlive   = 1500 * time.Millisecond // a member heard this recently counts as alive
 	joinerAlive   = 2 * time.Second
+	settleTime    = time.Second     // after an election, until silence counts
 	leadLeast     = 5 * time.Second // a leader stays at least this long before it prefers another one
-	votersMost    = 5               // further replicas receive the log and wait for a place
 )
 
 // genesisIndex and genesisTerm are the place of the group's first snapshot.
@@ -121,11 +121,13 @@
 	}
 }
 
-// askToJoin asks the leader to make this VM a member if it has no vote.
+// askToJoin asks the leader to make this VM a member if it has no vote, or if no leader knows it: it may have been
+// removed while it was down.
 func (r *replica) askToJoin(ctx context.Context) {
 	voter := true
 	err := r.loop.Do(ctx, func() {
-		voter = r.group == nil || slices.Contains(r.group.Membership().Voters, r.host.ID())
+		voter = r.group == nil ||
+			(slices.Contains(r.group.Membership().Voters, r.host.ID()) && r.group.Lead().Leader != "")
 	})
 	if err != nil || voter {
 		return
@@ -147,60 +149,34 @@
 	if !r.group.Serving() {
 		return
 	}
+	if now < r.ledSince+settleTime {
+		return // not every voter has had time to answer
+	}
 	r.preferLowerRank(now)
 	m := r.group.Membership()
+	var joiners []string
 	for id, at := range r.joiners {
 		if now > at+joinerAlive || slices.Contains(m.Voters, id) {
 			delete(r.joiners, id)
 			continue
 		}
-		if r.advance(now, m, id) {
-			return
-		}
+		joiners = append(joiners, id)
 	}
-}
-
-// advance goes one step towards a vote for a member: it becomes a learner; once it has caught up, a voter that
-// it replaces leaves; then it gets the vote.
-func (r *replica) advance(now time.Duration, m pj.Membership, id string) bool {
+	slices.Sort(joiners)
 	core := r.group.Core()
+	change := planChange(m, joiners, func(id string) bool { return core.HeardWithin(now, id, memberAlive) }, core.CaughtUp)
 	var err error
-	switch {
-	case !slices.Contains(m.Learners, id):
-		err = core.AddLearner(now, id)
-		r.vm.log("member_joins", "member", id, "as", "learner", "err", err)
-	case !core.CaughtUp(id) || !core.HeardWithin(now, id, memberAlive):
-		return false
-	default:
-		old := r.replacedBy(now, m, id)
-		switch {
-		case old != "" && r.othersAlive(now, m, old):
-			err = core.Remove(now, old)
-			r.vm.log("member_leaves", "member", old, "for", id, "err", err)
-		case old == "" && (len(m.Voters) < votersMost):
-			err = core.Promote(now, id)
-			r.vm.log("member_joins", "member", id, "as", "voter", "err", err)
-		default:
-			return false
-		}
-	}
-	return err == nil
-}
-
-// replacedBy returns the voter whose place a learner takes: an earlier identity of the same VM, or one that
-// is silent.
-func (r *replica) replacedBy(now time.Duration, m pj.Membership, id string) string {
-	for _, voter := range m.Voters {
-		if control.VMOf(voter) == control.VMOf(id) {
-			return voter
-		}
-	}
-	for _, voter := range m.Voters {
-		if !r.group.Core().HeardWithin(now, voter, memberAlive) {
-			return voter
-		}
+	switch change.kind {
+	case changeNone:
+		return
+	case changeLearn:
+		err = core.AddLearner(now, change.id)
+	case changePromote:
+		err = core.Promote(now, change.id)
+	case changeRemove:
+		err = core.Remove(now, change.id)
 	}
-	return ""
+	r.vm.log("member_change", "kind", change.kind, "member", change.id, "voters", len(m.Voters), "why", change.why, "err", err)
 }
 
 // preferLowerRank hands the leadership to a VM of a lower rank that has been there for some time.
@@ -238,16 +214,6 @@
 	r.ranks[vm] = known
 }
 
-// othersAlive reports whether all voters but one answer.
-func (r *replica) othersAlive(now time.Duration, m pj.Membership, except string) bool {
-	for _, id := range m.Voters {
-		if id != except && !r.group.Core().HeardWithin(now, id, memberAlive) {
-			return false
-		}
-	}
-	return true
-}
-
 // handOver gives the leadership to another voter that has the whole log; it reports whether there is
 // something left to hand over.
 func (r *replica) handOver(now time.Duration) bool {
