Runs: what can still reach its objective goes before what can't

Change: run times are learned for each queue; within a priority, units that are late already stand behind those that aren't.

--- a/internal/control/runs/assign.go
+++ b/internal/control/runs/assign.go
@@ -34,8 +34,7 @@
 			p.workers = append(p.workers, w)
 		}
 	}
-	ready := slices.Clone(c.ready)
-	for _, u := range ready[:min(len(ready), visitMost)] {
+	for _, u := range c.inOrder(now) {
 		if u.spec.Gang {
 			p.serveGang(u)
 		} else {
@@ -47,6 +46,19 @@
 	}
 }
 
+// inOrder returns the units to look at. Within a priority, what can still reach its objective goes before what can't,
+// so that a backlog doesn't make everything late that comes after it.
+func (c *Controller) inOrder(now time.Duration) []*unit {
+	ready := slices.Clone(c.ready[:min(len(c.ready), visitMost)])
+	slices.SortStableFunc(ready, func(a, b *unit) int {
+		return cmp.Or(
+			cmp.Compare(a.record.Workflow.Priority, b.record.Workflow.Priority),
+			cmp.Compare(a.lateness(now), b.lateness(now)),
+		)
+	})
+	return ready
+}
+
 func (p *plan) free(w *worker) pj.Resources {
 	return w.free.Sub(p.claimed[w])
 }
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -68,10 +68,11 @@
 	closed  bool
 	deposed bool // a worker has heard a newer leader
 
-	ledger  *fairness.Ledger
-	blame   *blame.Record
-	demand  *demand
-	version int64 // of the rules that the ledger was set from
+	ledger    *fairness.Ledger
+	blame     *blame.Record
+	demand    *demand
+	durations durations
+	version   int64 // of the rules that the ledger was set from
 
 	workers map[string]*worker
 	units   map[pj.StepID]*unit
@@ -112,13 +113,14 @@
 		options.Lease = DefaultLease
 	}
 	c := &Controller{
-		options: options,
-		since:   options.Clock.Now(),
-		ledger:  fairness.New(),
-		blame:   blame.New(),
-		demand:  newDemand(),
-		workers: make(map[string]*worker),
-		units:   make(map[pj.StepID]*unit),
+		options:   options,
+		since:     options.Clock.Now(),
+		ledger:    fairness.New(),
+		blame:     blame.New(),
+		demand:    newDemand(),
+		durations: make(durations),
+		workers:   make(map[string]*worker),
+		units:     make(map[pj.StepID]*unit),
 
 		byWorkflow: make(map[string][]*unit),
 		askers:     make(map[string]*asker),
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -218,6 +218,7 @@
 func (c *Controller) judge(now time.Duration, v *run, how pj.EndHow) {
 	switch how {
 	case pj.EndDone:
+		c.durations.observe(v.unit.record.Workflow.Queue, now-v.startedAt)
 		c.blame.Finished(v.startedAt, v.id.Task.Workflow, v.worker.ID)
 	case pj.EndFailed:
 		if _, quarantined := c.blame.Failed(now, v.id.Task.Workflow, v.worker.ID); quarantined {
--- a/internal/control/runs/unit.go
+++ b/internal/control/runs/unit.go
@@ -21,6 +21,8 @@
 	queued   bool
 	since    time.Duration // when its tasks could first start
 	due      time.Duration // when the workflow should be complete
+	useless  time.Duration // when it is of no use any more
+	rest     time.Duration // how long this step and those after it take
 
 	limited bool // the workspace's upper limit has held it back
 	asking  bool
@@ -35,11 +37,12 @@
 	}
 	spec := &r.Workflow.Steps[id.Step]
 	now := c.options.Clock.Now()
+	objective := c.durations.objective(&r.Workflow)
 	accepted := now - time.Duration(c.options.Unix()-r.Workflow.AcceptedAt)*time.Millisecond
 	u := &unit{
 		id: id, record: r, spec: spec, amount: spec.Reserved(), since: now,
 		live: make(map[int]*run), onWorker: make(map[string]int),
-		due:   accepted + r.Workflow.Objective(),
+		due: accepted + objective, useless: accepted + lateFactor*objective, rest: c.durations.chain(&r.Workflow, id.Step),
 		asked: make(map[string]bool), good: make(map[string]*ticket),
 	}
 	c.units[id] = u
--- a/workflow.go
+++ b/workflow.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 )
 
 // Step is one stage of a workflow: a number of tasks that are alike.
@@ -71,21 +70,6 @@
 	return w.StartAtMS + int64(occurrence)*w.IntervalMS
 }
 
-// Objective returns how long after its acceptance the workflow should be complete, by the estimates of
-// its tasks: the longest chain of steps times the stretch, and the queue's allowance.
-func (w *Workflow) Objective() time.Duration {
-	chains := make([]int64, len(w.Steps))
-	longest := int64(0)
-	for i := range w.Steps {
-		for _, d := range w.Steps[i].DependsOn {
-			chains[i] = max(chains[i], chains[d])
-		}
-		chains[i] += w.Steps[i].EstimateMS
-		longest = max(longest, chains[i])
-	}
-	return time.Duration(w.ObjectiveMS+int64(float64(longest)*w.Stretch)) * time.Millisecond
-}
-
 // Bounds of a workflow that is taken in.
 const (
 	MaxSpecBytes   = 4000
