Runs: a workflow waits until one of its runs was seen on a worker

The count left out workflows whose start was committed, though the worker was silent or the order carried out late, so that nothing had begun. Ruled out: old answers (the leader itself had counted). Change: the state counts until an end shows that a run has begun; the leader takes off those of which it has seen a run. Test: TestWaitingUntilSeen; 'ordered' and 'not answered' fail on the code before.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -78,8 +78,9 @@
 	units   map[pj.StepID]*unit
 
 	byWorkflow map[string][]*unit
-	ready      []*unit // units with tasks to start, in the order in which they are served
-	timed      []*unit // units whose time hasn't come
+	begun      map[string]struct{} // workflows with a run that was seen and of which no end is recorded
+	ready      []*unit             // units with tasks to start, in the order in which they are served
+	timed      []*unit             // units whose time hasn't come
 	askers     map[string]*asker
 	shares     map[string]float64 // part of the workers that a queue's policy allows, as seen so far
 
@@ -123,6 +124,7 @@
 		units:     make(map[pj.StepID]*unit),
 
 		byWorkflow: make(map[string][]*unit),
+		begun:      make(map[string]struct{}),
 		askers:     make(map[string]*asker),
 		shares:     make(map[string]float64),
 	}
@@ -172,7 +174,7 @@
 	}
 	v := &run{
 		id:   pj.RunID{Task: pj.TaskID{StepID: u.id, Index: index}, Run: t.Run},
-		unit: u, worker: w, phase: phaseStarted, settledAt: c.since, startedAt: c.since,
+		unit: u, worker: w, phase: phaseStarted, settledAt: c.since, startedAt: c.since, adopted: true,
 	}
 	c.occupy(v)
 }
--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -38,3 +38,38 @@
 	x.is.Equal(looks[0].hold.Ack, int64(1))
 	x.is.Equal(x.state("a"), pj.WorkflowComplete)
 }
+
+// TestWaitingUntilSeen: a workflow waits until one of its runs was seen on a worker, not merely ordered there.
+func TestWaitingUntilSeen(t *testing.T) {
+	tests := map[string]struct {
+		answer  func(x *cell, start *order)
+		waiting int
+	}{
+		"ordered":               {answer: func(*cell, *order) {}, waiting: 1},
+		"not answered":          {answer: func(_ *cell, start *order) { start.answer(errUnanswered) }, waiting: 1},
+		"answered":              {answer: func(_ *cell, start *order) { start.answer(nil) }, waiting: 0},
+		"refused":               {answer: func(_ *cell, start *order) { start.answer(&pj.RefusedError{Reason: pj.RefusedRoom}) }, waiting: 1},
+		"listed without answer": {answer: listed, waiting: 0},
+		"ended": {answer: func(x *cell, start *order) {
+			start.answer(nil)
+			x.pass(100 * time.Millisecond)
+			x.lookAll(map[string]pj.HoldAnswer{"w0": {Finished: []pj.EndRow{{Number: 1, Run: start.run, How: pj.EndFailed}}}})
+		}, waiting: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			x.submit("a", oneTask())
+			start := x.orders.take("start")[0]
+			tc.answer(x, start)
+			x.c.Flush()
+			x.is.Equal(x.c.Waiting("q"), tc.waiting)
+		})
+	}
+}
+
+func listed(x *cell, start *order) {
+	start.answer(errUnanswered)
+	x.pass(100 * time.Millisecond)
+	x.lookAll(map[string]pj.HoldAnswer{"w0": {Running: []pj.RunningRow{{Run: start.run}}}})
+}
--- a/internal/control/runs/intake.go
+++ b/internal/control/runs/intake.go
@@ -49,6 +49,7 @@
 	}
 	c.commit(workflow.Command{Cancel: id}, func(_ workflow.Result, err error) {
 		if err == nil && !c.closed {
+			delete(c.begun, id)
 			c.options.Events.Decided("workflow_cancelled", "workflow", id, "live", r.Live())
 			c.finished(r)
 		}
@@ -75,3 +76,23 @@
 		done(r.Version, err)
 	})
 }
+
+// Waiting returns how many workflows of a queue have not begun: none of their runs was seen on a worker.
+func (c *Controller) Waiting(queue string) int {
+	waiting := c.options.State.Waiting(queue)
+	for id := range c.begun {
+		if r := c.options.State.Record(id); r != nil && r.Workflow.Queue == queue {
+			waiting--
+		}
+	}
+	return waiting
+}
+
+// settle notes that a worker has a run, or surely hasn't.
+func (c *Controller) settle(v *run, seen bool) {
+	v.settledAt = c.options.Clock.Now()
+	r := v.unit.record
+	if seen && !r.Started && r.Workflow.Times == 0 && !r.State().Final() {
+		c.begun[r.Workflow.ID] = struct{}{}
+	}
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -32,6 +32,7 @@
 	phase      runPhase
 	startedAt  time.Duration
 	settledAt  time.Duration // since then it is known whether the worker has the run; 0 if it isn't
+	adopted    bool          // an earlier leader recorded it, and no worker has listed it to this one
 	unanswered bool          // the start had no answer
 	ending     bool          // its end is being committed
 	stopping   string        // why it is to be stopped
@@ -109,7 +110,7 @@
 func (c *Controller) startAnswered(v *run, _ int64, err error) {
 	now := c.options.Clock.Now()
 	if err == nil {
-		v.settledAt = now
+		c.settle(v, true)
 		return
 	}
 	var refused *pj.RefusedError
@@ -130,7 +131,7 @@
 		c.depose(v.worker, "start")
 		return
 	case pj.RefusedOld:
-		v.settledAt = now // the worker lists how it ended, or never ran it
+		c.settle(v, false) // the worker lists how it ended, or never ran it
 		return
 	case pj.RefusedTicket:
 		v.unit.dropTicket(v.worker.ID)
@@ -168,7 +169,7 @@
 		var refused *pj.RefusedError
 		switch {
 		case err == nil:
-			v.settledAt = c.options.Clock.Now() // a start that is still on its way will be refused
+			c.settle(v, false) // a start that is still on its way will be refused
 		case errors.As(err, &refused) && refused.Reason == pj.RefusedFence:
 			c.depose(v.worker, "stop")
 		}
@@ -190,6 +191,9 @@
 	now := c.options.Clock.Now()
 	c.release(v)
 	r := v.unit.record
+	if r.Started || r.State().Final() {
+		delete(c.begun, r.Workflow.ID)
+	}
 	c.options.Events.Decided("run_ended", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run,
 		"worker", v.worker.ID, "how", e.how, "ran", now-v.startedAt, "why", v.stopping)
 	c.judge(now, v, e.how)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -289,8 +289,9 @@
 		c.options.Orders.Stop(w.CalledWorker, row.Run, c.options.Term, func(int64, error) {})
 		return
 	}
-	if v.settledAt == 0 {
-		v.settledAt = now
+	if v.settledAt == 0 || v.adopted {
+		v.adopted = false
+		c.settle(v, true)
 	}
 	if row.Progress != v.progress {
 		v.progress = row.Progress
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -72,8 +72,8 @@
 	Workflow    pj.Workflow   `json:"workflow"`
 	Occurrences [][]StepState `json:"occurrences"` // by occurrence and step
 	Cancelled   bool          `json:"cancelled,omitempty"`
-	Failed      string        `json:"failed,omitempty"` // why it failed
-	Started     bool          `json:"started,omitempty"`
+	Failed      string        `json:"failed,omitempty"`   // why it failed
+	Started     bool          `json:"started,omitempty"`  // a run of it has ended on a worker, so it has surely begun
 	FinalAt     int64         `json:"final_at,omitempty"` // Unix time in milliseconds
 	live        int
 	undone      int // steps that have not finished
@@ -121,7 +121,7 @@
 		return pj.WorkflowFailed
 	case r.undone == 0:
 		return pj.WorkflowComplete
-	case r.Started:
+	case r.Started || r.live > 0:
 		return pj.WorkflowRunning
 	}
 	return pj.WorkflowQueued
@@ -210,7 +210,7 @@
 	}
 }
 
-// Waiting returns how many workflows of a queue have not started.
+// Waiting returns how many workflows of a queue have not surely begun.
 func (s *State) Waiting(queue string) int {
 	return s.waiting[queue]
 }
@@ -300,9 +300,9 @@
 	return r, true
 }
 
-// counts reports whether the workflow is one of those that wait for their first start.
+// counts reports whether the workflow is one of those that Waiting counts.
 func (s *State) counts(r *Record) bool {
-	return r.State() == pj.WorkflowQueued && r.Workflow.Times == 0
+	return !r.Started && !r.State().Final() && r.Workflow.Times == 0
 }
 
 // change runs a change of a record and keeps the count of waiting workflows.
@@ -351,7 +351,6 @@
 	if t == nil || t.Done || t.Worker != "" || st.Run <= t.Run || !r.Ready(st.Task.StepID) {
 		return false
 	}
-	s.change(r, func() { r.Started = true })
 	t.Run = st.Run
 	t.Worker = st.Worker
 	r.live++
@@ -369,6 +368,15 @@
 	}
 	t.Worker = ""
 	r.live--
+	s.change(r, func() { s.ended(r, t, e) })
+	s.finish(r, at)
+}
+
+// ended takes in how a run ended.
+func (s *State) ended(r *Record, t *Task, e RunEnd) {
+	if e.How != pj.EndLost && e.How != pj.EndNotStarted {
+		r.Started = true
+	}
 	if e.Saved != "" {
 		t.Saved = e.Saved
 	}
@@ -380,7 +388,6 @@
 	case e.How == pj.EndFailed && !spec.LongRunning:
 		s.fail(r, step, spec, t, e)
 	}
-	s.finish(r, at)
 }
 
 // done marks a task as finished; one member of a gang stands for all.
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -91,7 +91,7 @@
 }
 
 func (r *replica) runWaiting(ctx context.Context, queue string) (int, error) {
-	return leading(ctx, r, func(reply func(int, error)) { reply(r.state.Waiting(queue), nil) })
+	return leading(ctx, r, func(reply func(int, error)) { reply(r.controller.Waiting(queue), nil) })
 }
 
 func (r *replica) runPublish(ctx context.Context, rules pj.Ruleset) (published, error) {
