--- /dev/null
+++ b/internal/control/rulebook/rulebook_test.go
@@ -0,0 +1,62 @@
+package rulebook_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	pj "papayajunction"
+	"papayajunction/internal/control/rulebook"
+)
+
+type clock struct{ now time.Duration }
+
+func (c *clock) Now() time.Duration { return c.now }
+
+func rules(version int64) *pj.Ruleset {
+	return &pj.Ruleset{Version: version, Document: []byte("{}")}
+}
+
+// TestBook covers what a VM may rely on and for how long.
+func TestBook(t *testing.T) {
+	tests := map[string]struct {
+		run     func(b *rulebook.Book, c *clock)
+		inForce bool
+		version int64
+	}{
+		"nothing published": {run: func(b *rulebook.Book, _ *clock) { b.Learn(0, 0, nil) }},
+		"learned":           {run: func(b *rulebook.Book, _ *clock) { b.Learn(0, 2, rules(2)) }, inForce: true, version: 2},
+		"never back": {run: func(b *rulebook.Book, _ *clock) {
+			b.Learn(0, 5, rules(5))
+			b.Learn(0, 4, rules(4))
+		}, inForce: true, version: 5},
+		"the lease counts from the question": {run: func(b *rulebook.Book, c *clock) {
+			c.now = 2 * time.Second
+			b.Learn(0, 2, rules(2)) // the answer came late
+			c.now = rulebook.Lease
+		}, version: 2},
+		"renewed without news": {run: func(b *rulebook.Book, c *clock) {
+			b.Learn(0, 2, rules(2))
+			c.now = 2 * time.Second
+			b.Learn(c.now, 2, nil)
+			c.now = 4 * time.Second
+		}, inForce: true, version: 2},
+		"the leader has newer rules and they didn't come": {run: func(b *rulebook.Book, c *clock) {
+			b.Learn(0, 2, rules(2))
+			c.now = 2 * time.Second
+			b.Learn(c.now, 3, nil)
+			c.now = 4 * time.Second
+		}, version: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &clock{}
+			b := rulebook.New(c)
+			tc.run(b, c)
+			is.Equal(b.InForce() == nil, tc.inForce)
+			is.Equal(b.Rules().Version, tc.version)
+		})
+	}
+}
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -115,7 +115,6 @@
 	group  *group
 	orders *orders
 	c      *runs.Controller
-	finals int64
 }
 
 const (
@@ -181,9 +180,48 @@
 		a.Born, a.ClockMS = bornAt, x.clock.now.Milliseconds()+1
 		o.looked(a, nil)
 	}
+	x.flush()
+}
+
+// flush decides and commits until what a commit has caused is decided too, as the control goroutine does.
+func (x *cell) flush() {
+	x.c.Flush()
+	x.c.Flush()
+}
+
+// lookOnly answers the looks at one worker, with what it was told to run and hasn't reported as ended.
+func (x *cell) lookOnly(worker string) {
+	for _, o := range x.orders.take("hold") {
+		if o.worker == worker {
+			o.looked(pj.HoldAnswer{Born: bornAt, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
+			continue
+		}
+		o.looked(pj.HoldAnswer{}, errUnanswered)
+	}
 	x.c.Flush()
 }
 
+// lookRunning answers all looks with the given runs.
+func (x *cell) lookRunning(starts []*order) {
+	rows := make(map[string]pj.HoldAnswer)
+	for _, s := range starts {
+		a := rows[s.worker]
+		a.Running = append(a.Running, pj.RunningRow{Run: s.run})
+		rows[s.worker] = a
+	}
+	x.lookAll(rows)
+}
+
+// limit publishes an upper limit of the workspace.
+func (x *cell) limit(limit pj.Resources) {
+	rules := pj.Ruleset{
+		Version: 2, Document: []byte("{}"), Pools: []string{"pool"},
+		Teams: []pj.Team{{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: limit}}},
+	}
+	x.c.Configure(rules, func(int64, error) {})
+	x.c.Tick()
+}
+
 // submit hands in a workflow of one step.
 func (x *cell) submit(id string, step pj.Step) {
 	x.submitAll(pj.Workflow{ID: id, Queue: "q", Workspace: "team", Pool: "pool", Spec: "s", Steps: []pj.Step{step}, MaxAttempts: 2})
--- a/internal/server/app/app.go
+++ b/internal/server/app/app.go
@@ -77,8 +77,7 @@
 		return nil, fmt.Errorf("listen on %s: %w", s.Address, err)
 	}
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Address(s.Address))
-	server.ReadHeaderTimeout = headerTimeout
-	server.MaxHeaderBytes = maxHeaderBytes
+	Harden(server.Server)
 	server.Protocols = new(http.Protocols)
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(s.Peers)
@@ -93,6 +92,12 @@
 	return server, nil
 }
 
+// Harden bounds what a connection may take before its request is known, on any listener.
+func Harden(server *http.Server) {
+	server.ReadHeaderTimeout = headerTimeout
+	server.MaxHeaderBytes = maxHeaderBytes
+}
+
 // counted counts requests in flight and tells clients to connect elsewhere while the process stops.
 func (a *App) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/server/app/app_test.go
@@ -0,0 +1,36 @@
+package app
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestHarden: a request with a flood of headers is refused, and a connection that doesn't finish its headers is
+// given up after a time.
+func TestHarden(t *testing.T) {
+	is := is.New(t)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })} //nolint:gosec // Harden sets the times
+	Harden(server)
+	is.True(server.ReadHeaderTimeout > 0)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	for headers, status := range map[int]int{10: http.StatusOK, 10000: http.StatusRequestHeaderFieldsTooLarge} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), strings.NewReader(""))
+		is.NoErr(err)
+		for i := range headers {
+			r.Header.Set("X-H-"+strconv.Itoa(i), "v")
+		}
+		response, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, status)
+		is.NoErr(response.Body.Close())
+	}
+}
--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"papayajunction/internal/config/settings"
 	"papayajunction/internal/server/api"
+	"papayajunction/internal/server/app"
 	"papayajunction/internal/server/node"
 	"papayajunction/internal/server/peer"
 )
@@ -82,6 +83,7 @@
 		options = append(options, khttp.TLSConfig(tlsConfig))
 	}
 	server := khttp.NewServer(options...)
+	app.Harden(server.Server)
 	server.Protocols = new(http.Protocols)
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
--- /dev/null
+++ b/internal/server/eventlog/eventlog_test.go
@@ -0,0 +1,49 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"papayajunction/internal/server/eventlog"
+)
+
+// TestReaderThatStops: a reader that takes nothing must not make anybody wait, and the loss is counted.
+func TestReaderThatStops(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	reader, writer := io.Pipe() // a write waits until it is read
+	log, closeLog := eventlog.New(writer, set, false)
+	for range 5000 {
+		is.NoErr(log.Log("event", "e", "text", strings.Repeat("x", 200)))
+	}
+	var text bytes.Buffer
+	set.WritePrometheus(&text)
+	is.True(!strings.Contains(text.String(), "papaya_log_lines_dropped_total 0\n"))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.Copy(io.Discard, reader)
+	}()
+	closeLog()
+	is.NoErr(writer.Close())
+	<-done
+}
+
+// TestLines: lines are key=value, in order, and all of a quiet moment are written at the end.
+func TestLines(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, closeLog := eventlog.New(&out, metrics.NewSet(), false)
+	is.NoErr(log.Log("event", "a", "n", 1))
+	is.NoErr(log.Log("event", "b", "text", "two words"))
+	closeLog()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.HasPrefix(lines[0], "ts=") && strings.HasSuffix(lines[0], " event=a n=1"))
+	is.True(strings.HasSuffix(lines[1], ` event=b text="two words"`))
+}
