--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -132,7 +132,7 @@
 		FlagSet: fs,
 		Subcommands: []*ffcli.Command{
 			a.check(), a.publish(), a.request(), a.submit(), a.job(), a.cancel(), a.status(),
-			a.workspace(), a.keys(), a.drain(), a.standIn(), a.replay(), a.demo(), a.version(),
+			a.workspace(), a.keys(), a.drain(), a.standIn(), a.replay(), a.explain(), a.demo(), a.version(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -138,30 +138,23 @@
 func (c *Controller) adopt(r *workflow.Record) {
 	for k := range r.Occurrences {
 		for i := range r.Occurrences[k] {
-			id := pj.StepID{Workflow: r.Workflow.ID, Occurrence: k, Step: i}
-			step := r.Step(id)
-			var live []int
-			for index, t := range step.Tasks {
-				if t.Worker != "" {
-					live = append(live, index)
-				}
-			}
-			if len(live) > 0 {
-				u := c.unit(r, id)
-				for _, index := range live {
-					c.adoptRun(u, index, step.Tasks[index])
-				}
-			}
-			if r.State().Final() {
-				continue
-			}
-			if !step.Done() && r.Ready(id) {
-				c.enqueue(c.unit(r, id))
-			}
+			c.adoptStep(r, pj.StepID{Workflow: r.Workflow.ID, Occurrence: k, Step: i})
 		}
 	}
 	if r.State().Final() {
-		c.stopAll(r, "the workflow has ended")
+		c.stopAll(r, "the workflow is "+string(r.State()))
+	}
+}
+
+func (c *Controller) adoptStep(r *workflow.Record, id pj.StepID) {
+	step := r.Step(id)
+	for index, t := range step.Tasks {
+		if t.Worker != "" {
+			c.adoptRun(c.unit(r, id), index, t)
+		}
+	}
+	if !r.State().Final() && !step.Done() && r.Ready(id) {
+		c.enqueue(c.unit(r, id))
 	}
 }
 
--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -392,3 +392,33 @@
 	}
 	return nil
 }
+
+// TestProgress covers runs that stand still or are slow.
+func TestProgress(t *testing.T) {
+	row := func(s *order, percent int) map[string]pj.HoldAnswer {
+		return map[string]pj.HoldAnswer{s.worker: {Running: []pj.RunningRow{{Run: s.run, Progress: percent}}}}
+	}
+	tests := map[string]struct {
+		step    pj.Step
+		rows    []int // percent at looks half a second apart
+		stopped bool
+	}{
+		"stands still":             {step: oneTask(), rows: []int{10, 10, 10, 10, 10, 10, 10}, stopped: true},
+		"gets on":                  {step: oneTask(), rows: []int{10, 11, 12, 13, 14, 15, 16}},
+		"stood still for a moment": {step: oneTask(), rows: []int{10, 10, 10, 11, 11, 11, 12}},
+		"lasts":                    {step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), LongRunning: true}, rows: []int{100, 100, 100, 100, 100, 100, 100}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			x.submit("a", tc.step)
+			start := x.orders.take("start")[0]
+			start.answer(nil)
+			for _, percent := range tc.rows {
+				x.pass(500 * time.Millisecond)
+				x.lookAll(row(start, percent))
+			}
+			x.is.Equal(len(x.orders.take("stop")) > 0, tc.stopped)
+		})
+	}
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -222,6 +222,9 @@
 func (c *Controller) judge(now time.Duration, v *run, how pj.EndHow) {
 	switch how {
 	case pj.EndDone:
+		if usual := c.durations[v.unit.record.Workflow.Queue]; usual > 0 && v.id.Run == 1 {
+			v.worker.learnSpeed(float64(now-v.startedAt) / float64(usual))
+		}
 		c.durations.observe(v.unit.record.Workflow.Queue, now-v.startedAt)
 		c.blame.Finished(v.startedAt, v.id.Task.Workflow, v.worker.ID)
 	case pj.EndFailed:
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -36,6 +36,7 @@
 	untilMS   int64 // latest end of its lease that this leader has sent
 	nextLook  time.Duration
 	unhealthy time.Duration // until then it gets no new task
+	slowness  float64       // usual run times that a run takes here, as lately seen; 0 if nothing was seen
 }
 
 func (c *Controller) addWorker(info pj.CalledWorker) *worker {
@@ -293,10 +294,7 @@
 		v.adopted = false
 		c.settle(v, true)
 	}
-	if row.Progress != v.progress {
-		v.progress = row.Progress
-		v.movedAt = now
-	}
+	c.watchProgress(now, v, row)
 	if row.Saved != "" {
 		v.saved = row.Saved
 	}
--- a/internal/server/lead/lead.go
+++ b/internal/server/lead/lead.go
@@ -99,8 +99,9 @@
 		return stale
 	case pj.CodeNotLeader, pj.CodeNoQuorum:
 		return stale
+	default:
+		return true
 	}
-	return true
 }
 
 // final returns the error with which the call ends.
