Runs: stuck runs move on, slow workers come last; moving slow runs was dropped

Change: a run without progress for 2.5 s is stopped and its worker rests 3 s; a worker whose runs take 2.5 times the usual time comes last in the choice.

--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -393,7 +393,7 @@
 	return nil
 }
 
-// TestProgress covers runs that stand still or are slow.
+// TestProgress covers runs that stand still.
 func TestProgress(t *testing.T) {
 	row := func(s *order, percent int) map[string]pj.HoldAnswer {
 		return map[string]pj.HoldAnswer{s.worker: {Running: []pj.RunningRow{{Run: s.run, Progress: percent}}}}
--- a/internal/control/runs/progress.go
+++ b/internal/control/runs/progress.go
@@ -8,18 +8,15 @@
 
 // Bounds of judging how fast runs get on.
 const (
-	stuckAfter   = 2500 * time.Millisecond // without progress a run is started anew elsewhere; gangs gather well within it
-	judgeAfter   = 600 * time.Millisecond  // a younger run says nothing of its worker's speed
-	slowWeight   = 0.15                    // of one run in what is learned of a worker's speed
-	slowFrom     = 2.5                     // times the usual run time from which a worker counts as slow; tasks themselves vary up to this
-	slowScore    = 1.0                     // added to a slow worker's place in the choice
-	restartFrom  = 2.5                     // usual run times that must be left for a run to be started anew elsewhere
-	restartSpare = 500 * time.Millisecond  // on top of that, for the stop and the new start
-	restartRuns  = 2                       // a task with more runs isn't started anew for being slow
-	stuckRest    = 3 * time.Second         // for which a worker with a stuck run gets no new task
+	stuckAfter = 2500 * time.Millisecond // without progress a run is started anew elsewhere; gangs gather well within it
+	judgeAfter = 600 * time.Millisecond  // a younger run says nothing of its worker's speed
+	slowWeight = 0.15                    // of one run in what is learned of a worker's speed
+	slowFrom   = 2.5                     // times the usual run time from which a worker counts as slow; tasks themselves vary up to this
+	slowScore  = 1.0                     // added to a slow worker's place in the choice
+	stuckRest  = 3 * time.Second         // for which a worker with a stuck run gets no new task
 )
 
-// watchProgress stops a run that stands still or would take far longer than elsewhere.
+// watchProgress stops a run that stands still, and learns how fast its worker is.
 func (c *Controller) watchProgress(now time.Duration, v *run, row *pj.RunningRow) {
 	if row.Progress != v.progress {
 		v.progress = row.Progress
@@ -33,23 +30,19 @@
 		c.stop(v, "it makes no progress")
 		return
 	}
-	if c.shouldMove(now, v, row) {
-		c.stop(v, "its worker is slow")
-	}
+	c.judgeSpeed(now, v, row)
 }
 
-// shouldMove learns the worker's speed from a run, and reports whether the run would end sooner if it began anew
-// elsewhere. Runs that go on from a checkpoint say nothing, because the percent doesn't tell when they began.
-func (c *Controller) shouldMove(now time.Duration, v *run, row *pj.RunningRow) bool {
+// judgeSpeed learns the worker's speed from a run. Runs that go on from a checkpoint say nothing, because the percent
+// doesn't tell when they began.
+func (c *Controller) judgeSpeed(now time.Duration, v *run, row *pj.RunningRow) {
 	usual := c.durations[v.unit.record.Workflow.Queue]
 	ran := now - v.startedAt
 	if usual <= 0 || v.unit.spec.Gang || row.Saved != "" || row.Progress <= 0 || ran < judgeAfter {
-		return false
+		return
 	}
 	total := time.Duration(float64(ran) * 100 / float64(row.Progress))
 	v.worker.learnSpeed(float64(total) / float64(usual))
-	enough := time.Duration(restartFrom*float64(usual)) + restartSpare
-	return total-ran > enough && v.id.Run <= restartRuns && v.worker.slow()
 }
 
 // learnSpeed takes in how many usual run times a run takes on the worker.
