Clock that goes on while the VM is suspended

Change: leases are measured on a clock that adds suspensions; the system is asked only when the time of day and the steady clock have moved apart.

--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/bootclock"
 	"papayajunction/internal/control/rulebook"
 	"papayajunction/internal/server/lead"
 	"papayajunction/internal/server/operation"
@@ -69,7 +70,7 @@
 
 // New starts a VM and returns a function that stops it.
 func New(options Options) (*VM, func(), error) {
-	clock := systemClock{start: time.Now()}
+	clock := bootclock.New()
 	v := &VM{options: options, clock: clock, book: rulebook.New(clock), finals: newFinals(finalsMost)}
 	transport, closeTransport := peer.NewTransport(options.Address, addressOf, nil, peer.NewTraffic(options.Metrics))
 	v.transport = transport
@@ -102,16 +103,6 @@
 	return vm, vm != ""
 }
 
-// systemClock counts from the start of the process.
-type systemClock struct {
-	start time.Time
-}
-
-// Now is part of pj.Clock.
-func (c systemClock) Now() time.Duration {
-	return time.Since(c.start)
-}
-
 func (v *VM) log(event string, keyvals ...any) {
 	_ = v.options.Logger.Log(append([]any{"event", event}, keyvals...)...)
 }
--- a/internal/server/node/node.go
+++ b/internal/server/node/node.go
@@ -17,6 +17,7 @@
 	pj "papayajunction"
 	"papayajunction/internal/config/settings"
 	"papayajunction/internal/config/topology"
+	"papayajunction/internal/control/bootclock"
 	"papayajunction/internal/control/directory"
 	"papayajunction/internal/control/loop"
 	"papayajunction/internal/control/replica"
@@ -58,23 +59,13 @@
 	draining   sync.Once
 }
 
-// systemClock counts from the start of the process.
-type systemClock struct {
-	start time.Time
-}
-
-// Now is part of pj.Clock.
-func (c systemClock) Now() time.Duration {
-	return time.Since(c.start)
-}
-
 // New starts the control side of a VM and returns a function that stops it.
 func New(s settings.Settings, logger kitlog.Logger, set *metrics.Set) (*Node, func(), error) {
 	tlsConfig, err := peer.TLS(s)
 	if err != nil {
 		return nil, nil, fmt.Errorf("prepare TLS: %w", err)
 	}
-	clock := systemClock{start: time.Now()}
+	clock := bootclock.New()
 	n := &Node{
 		settings:  s,
 		topology:  topology.New(s.VMs),
