Runs: a worker's new life is not given up by the lease of the one before

Cause (reading): a start that reaches a worker which has just been born again under its id names its lease on the earlier clock; the worker shortens it to the longest it holds. The leader took the lease to be over at once, so a worker that then fell silent could have had its task run a second time elsewhere. Change: after a rebirth the longest lease bounds what may run. Test: 'a worker that was born again ...' fails without the bound.

--- a/internal/control/runs/assign.go
+++ b/internal/control/runs/assign.go
@@ -9,10 +9,8 @@
 	pj "papayajunction"
 )
 
-// Bounds of one decision.
-const (
-	visitMost = 400 // units that are looked at
-)
+// visitMost bounds how many units one decision looks at.
+const visitMost = 400
 
 // plan is one decision: units are served in order, and room that a unit waits for is kept from
 // those behind it.
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -54,6 +54,7 @@
 // Times of leases and records.
 const (
 	DefaultLease  = 6 * time.Second        // a new leader is elected and has looked at every worker well within it
+	longestLease  = 12 * time.Second       // no worker holds a lease for longer, whatever an order says and however slow its clock is
 	clockSlack    = 0.97                   // least rate of a worker's clock against this VM's
 	leaseMargin   = 100 * time.Millisecond // after the end of a lease, until its tasks count as ended
 	retention     = 20 * time.Minute       // how long workflows in a final state are kept
--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -180,6 +180,20 @@
 			}
 			x.is.Equal(len(x.orders.take("start")), 1)
 		},
+		"a worker that was born again is not given up by the lease of its life before": func(x *cell, start *order) {
+			// The start reached the new life, which then falls silent.
+			w := testWorker(start.worker)
+			w.Born = bornAt + 1
+			x.c.Announce(w, func(err error) { x.is.NoErr(err) })
+			x.flush()
+			other := map[string]string{"w0": "w1", "w1": "w0"}[start.worker]
+			start.answer(nil)
+			for range 110 {
+				x.pass(100 * time.Millisecond)
+				x.lookOnly(other)
+				x.is.Equal(len(x.orders.take("start")), 0)
+			}
+		},
 		"a cancelled workflow's run is stopped": func(x *cell, start *order) {
 			start.answer(nil)
 			x.c.Cancel("a", "team", func(err error) { x.is.NoErr(err) })
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -9,8 +9,6 @@
 	"papayajunction/internal/control/workflow"
 )
 
-type resultOf = workflow.Result
-
 // Times after an order that a worker refused.
 const (
 	unhealthyFor = time.Second
@@ -43,10 +41,6 @@
 	ticket     string
 }
 
-func leaveCommand(w *worker) workflow.Command {
-	return workflow.Command{Leave: []workflow.WorkerLife{{ID: w.ID, Born: w.Born}}}
-}
-
 // occupy counts a run on its worker, its workspace and its unit.
 func (c *Controller) occupy(v *run) {
 	u := v.unit
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/workflow"
 )
 
 // Times of looking at workers.
@@ -29,14 +30,15 @@
 	usable  bool
 	looking bool
 
-	heard     bool          // it answered a look of this leader
-	heardAt   time.Duration // when it last did
-	clockMS   int64         // its clock was at least this at clockAt
-	clockAt   time.Duration
-	untilMS   int64 // latest end of its lease that this leader has sent
-	nextLook  time.Duration
-	unhealthy time.Duration // until then it gets no new task
-	slowness  float64       // usual run times that a run takes here, as lately seen; 0 if nothing was seen
+	heard      bool          // it answered a look of this leader
+	heardAt    time.Duration // when it last did
+	clockMS    int64         // its clock was at least this at clockAt
+	clockAt    time.Duration
+	untilMS    int64         // latest end of its lease that this leader has sent
+	boundUntil time.Duration // until then a lease may run that is longer than untilMS says
+	nextLook   time.Duration
+	unhealthy  time.Duration // until then it gets no new task
+	slowness   float64       // usual run times that a run takes here, as lately seen; 0 if nothing was seen
 }
 
 func (c *Controller) addWorker(info pj.CalledWorker) *worker {
@@ -79,8 +81,8 @@
 		w = c.addWorker(info)
 	} else if info.Born >= w.Born {
 		if info.Born > w.Born {
-			w.acked = 0
-			w.clockMS, w.untilMS, w.heard = 0, 0, false
+			w.rebirth(c.options.Clock.Now())
+			w.clockMS, w.heard = 0, false
 		}
 		used := w.Capacity.Sub(w.free)
 		w.CalledWorker = info
@@ -113,14 +115,23 @@
 	w.leftAt = max(c.options.Clock.Now(), 1)
 	c.refreshCapacity()
 	c.options.Events.Decided("worker_gone", "worker", w.ID, "born", w.Born, "why", why, "runs", len(w.runs))
-	c.commit(leaveCommand(w), func(_ resultOf, err error) { done(err) })
+	leave := workflow.Command{Leave: []workflow.WorkerLife{{ID: w.ID, Born: w.Born}}}
+	c.commit(leave, func(_ workflow.Result, err error) { done(err) })
 }
 
-// Draining evacuates nothing by itself; it only keeps new tasks away.
+// accepts reports whether new tasks may start on the worker. What runs on a draining one stays there until it leaves.
 func (w *worker) accepts(now time.Duration) bool {
 	return w.usable && !w.Draining && w.leftAt == 0 && now >= w.unhealthy
 }
 
+// rebirth notes that the worker is in another life. A start that was meant for the life before may have reached this one;
+// its lease is named on the earlier life's clock, so only the longest lease bounds it.
+func (w *worker) rebirth(now time.Duration) {
+	w.acked = 0
+	w.untilMS = 0
+	w.boundUntil = now + longestLease + leaseMargin
+}
+
 // lowerClock returns what the worker's clock shows at least.
 func (w *worker) lowerClock(now time.Duration) int64 {
 	passed := float64(now-w.clockAt) * clockSlack / float64(time.Millisecond)
@@ -130,8 +141,8 @@
 // leaseOver reports whether everything that the worker was told to run has surely been killed.
 func (c *Controller) leaseOver(now time.Duration, w *worker) bool {
 	earlier := c.since + time.Duration(float64(c.options.Lease)/clockSlack) + leaseMargin
-	if now < earlier {
-		return false // a lease of the leader before may still run
+	if now < earlier || now < w.boundUntil {
+		return false // a lease of the leader before, or one given to the life before, may still run
 	}
 	if w.untilMS == 0 {
 		return true
@@ -194,8 +205,7 @@
 		}
 		c.options.Events.Decided("worker_restarted", "worker", w.ID, "born", a.Born, "before", w.Born, "runs", len(w.runs))
 		w.Born = a.Born
-		w.acked = 0
-		w.untilMS = 0
+		w.rebirth(now)
 	}
 	if !w.heard {
 		c.options.Events.Decided("worker_heard", "worker", w.ID, "running", len(a.Running), "finished", len(a.Finished), "recorded", len(w.runs))
