Runs: workspaces within their share go before those beyond it

Cause: between workspaces of one priority only their upper limits counted, not their shares. Change: within a priority, work of a workspace that uses more than its weight entitles it to stands behind the others'. Test: 'a workspace beyond its share waits behind one within it', seen to fail.

--- a/internal/control/runs/assign.go
+++ b/internal/control/runs/assign.go
@@ -50,12 +50,21 @@
 	slices.SortStableFunc(ready, func(a, b *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.record.Workflow.Priority, b.record.Workflow.Priority),
+			cmp.Compare(c.beyondShare(a), c.beyondShare(b)),
 			cmp.Compare(a.lateness(now), b.lateness(now)),
 		)
 	})
 	return ready
 }
 
+// beyondShare returns 1 for work of a workspace that uses more than its share of the fleet, else 0.
+func (c *Controller) beyondShare(u *unit) int {
+	if c.ledger.WithinShare(u.record.Workflow.Workspace) {
+		return 0
+	}
+	return 1
+}
+
 func (p *plan) free(w *worker) pj.Resources {
 	return w.free.Sub(p.claimed[w])
 }
--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -309,6 +309,22 @@
 			x.is.Equal(len(starts), 1)
 			x.is.Equal(starts[0].run.Task.Workflow, "urgent")
 		}},
+		"a workspace beyond its share waits behind one within it": {workers: 2, run: func(x *cell) {
+			x.teams(map[string]float64{"team": 1, "other": 3})
+			x.submit("large", pj.Step{Tasks: 2, Task: pj.NewResources(8, 1, 0, 0)})
+			first := x.orders.take("start")
+			x.is.Equal(len(first), 2)
+			x.submit("more", pj.Step{Tasks: 1, Task: pj.NewResources(8, 1, 0, 0)})
+			x.submitAll(pj.Workflow{ID: "small", Queue: "q", Workspace: "other", Pool: "pool", Steps: []pj.Step{{Tasks: 1, Task: pj.NewResources(8, 1, 0, 0)}}, MaxAttempts: 1})
+			x.pass(100 * time.Millisecond)
+			x.lookAll(map[string]pj.HoldAnswer{
+				"w0": {Finished: []pj.EndRow{{Number: 1, Run: onWorker(first, "w0").run, How: pj.EndDone}}},
+				"w1": {Running: []pj.RunningRow{{Run: onWorker(first, "w1").run}}},
+			})
+			starts := x.orders.take("start")
+			x.is.Equal(len(starts), 1)
+			x.is.Equal(starts[0].run.Task.Workflow, "small")
+		}},
 		"an occurrence waits for its time": {workers: 1, run: func(x *cell) {
 			x.submitAll(pj.Workflow{
 				ID: "t", Queue: "q", Workspace: "team", Pool: "pool", Steps: []pj.Step{small}, MaxAttempts: 1,
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -214,11 +214,20 @@
 
 // limit publishes an upper limit of the workspace.
 func (x *cell) limit(limit pj.Resources) {
-	rules := pj.Ruleset{
-		Version: 2, Document: []byte("{}"), Pools: []string{"pool"},
-		Teams: []pj.Team{{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: limit}}},
+	x.publish(pj.Team{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: limit}})
+}
+
+// teams publishes workspaces with their shares.
+func (x *cell) teams(shares map[string]float64) {
+	var teams []pj.Team
+	for name, share := range shares {
+		teams = append(teams, pj.Team{Workspace: pj.Workspace{Name: name, Share: share, Limit: pj.NewResources(1000, 1000, 10, 0)}})
 	}
-	x.c.Configure(rules, func(int64, error) {})
+	x.publish(teams...)
+}
+
+func (x *cell) publish(teams ...pj.Team) {
+	x.c.Configure(pj.Ruleset{Version: 2, Document: []byte("{}"), Pools: []string{"pool"}, Teams: teams}, func(int64, error) {})
 	x.c.Tick()
 }
 
