Peer: a stream is not cut after its handler has returned

Cause: found by TestCell (the cell in one process): when the streams of the other VMs were ended while a handler returned, the server's response was touched after its end, which panics. papayad could die of it while it stopped. Change: the cut and the end of the handler exclude each other. Test: TestCell panicked in the first run; it passes since.

--- a/internal/server/peer/service.go
+++ b/internal/server/peer/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,8 +34,9 @@
 	)
 	stopped, stop := context.WithCancel(context.Background())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		control := http.NewResponseController(w)
-		release := context.AfterFunc(stopped, func() { _ = control.SetReadDeadline(time.Now()) })
+		c := cut{control: http.NewResponseController(w)}
+		release := context.AfterFunc(stopped, c.now)
+		defer c.end()
 		defer release()
 		service.ServeHTTP(w, r)
 	})
@@ -50,6 +52,28 @@
 	}), stop
 }
 
+// cut ends the reading of a stream while its handler runs; afterwards the stream belongs to the server.
+type cut struct {
+	control *http.ResponseController
+
+	mu    sync.Mutex
+	ended bool
+}
+
+func (c *cut) now() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		_ = c.control.SetReadDeadline(time.Now()) // fails only where the connection can't be cut this way
+	}
+}
+
+func (c *cut) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
 type service struct {
 	self     string
 	receiver Receiver
