--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -51,6 +51,11 @@
 	}
 }
 
+// Ended is closed once Run has returned, so that nothing runs on the control goroutine any more.
+func (l *Loop) Ended() <-chan struct{} {
+	return l.done
+}
+
 // After queues an event after some time.
 func (l *Loop) After(wait time.Duration, event func()) {
 	time.AfterFunc(wait, func() { l.Post(event) })
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -244,3 +244,25 @@
 		}
 	}
 }
+
+// Leads reports whether this VM leads.
+func (v *VM) Leads(ctx context.Context) bool {
+	leads := false
+	if v.replica == nil {
+		return false
+	}
+	err := v.replica.loop.Do(ctx, func() { leads = v.replica.group != nil && v.replica.group.Serving() })
+	return err == nil && leads
+}
+
+// Votes reports whether this VM has a vote, as far as it knows.
+func (v *VM) Votes(ctx context.Context) bool {
+	votes := false
+	if v.replica == nil {
+		return false
+	}
+	err := v.replica.loop.Do(ctx, func() {
+		votes = v.replica.group != nil && slices.Contains(v.replica.group.Membership().Voters, v.replica.host.ID())
+	})
+	return err == nil && votes
+}
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -66,6 +66,7 @@
 		OnFault: func(err error) { v.log("disk_write_failed", "err", err) },
 	})
 	return r, func() {
+		<-r.loop.Ended() // the control goroutine must not write any more
 		closeSaver()
 		if err := closeStore(); err != nil {
 			v.log("close_failed", "err", err)
