--- a/internal/standin/called/called.go
+++ b/internal/standin/called/called.go
@@ -31,8 +31,6 @@
 	latest map[pj.TaskID]int // highest run that was stopped or ended here
 	ends   []pj.EndRow
 	number int64
-	used   pj.Resources
-	sizes  map[pj.RunID]pj.Resources
 	silent bool
 }
 
@@ -46,7 +44,7 @@
 	}
 	for _, info := range infos {
 		f.workers[info.ID] = &worker{
-			info: info, runs: make(map[pj.RunID]time.Time), latest: make(map[pj.TaskID]int), sizes: make(map[pj.RunID]pj.Resources),
+			info: info, runs: make(map[pj.RunID]time.Time), latest: make(map[pj.TaskID]int),
 		}
 	}
 	return f
