--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -103,8 +103,12 @@
 	return vm, vm != ""
 }
 
+// log writes a line; an error that is nil at its end is left out.
 func (v *VM) log(event string, keyvals ...any) {
-	_ = v.options.Logger.Log(append([]any{"event", event}, keyvals...)...)
+	if n := len(keyvals); n > 0 && keyvals[n-1] == nil {
+		keyvals = keyvals[:n-2]
+	}
+	_ = v.options.Logger.Log(append([]any{"event", event}, keyvals...)...) // a line that can't be written is counted by the log
 }
 
 // Deliver hands in messages from another VM.
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	pj "papayajunction"
@@ -111,7 +112,7 @@
 	for {
 		err := r.store.Save([]pj.LogWrite{write})
 		if err == nil {
-			r.vm.log("group_founded", "members", recovered.Snapshot.Membership.Voters)
+			r.vm.log("group_founded", "members", strings.Join(recovered.Snapshot.Membership.Voters, ","))
 			return true
 		}
 		r.vm.log("disk_write_failed", "err", err)
--- a/resources.go
+++ b/resources.go
@@ -25,6 +25,9 @@
 	MiBPerGiB    = 1024
 )
 
+// Unlimited is an amount that no work reaches. It stands for a limit that isn't set.
+const Unlimited = int64(1) << 50
+
 // Resources is an amount of each kind of resource. The zero value is nothing.
 type Resources [dimensions]int64
 
@@ -116,15 +119,18 @@
 
 // String returns a short text such as "2 cores, 4 GiB".
 func (r Resources) String() string {
-	parts := []string{
-		fmt.Sprintf("%g cores", float64(r[Cores])/MilliPerCore),
-		fmt.Sprintf("%.4g GiB", float64(r[Memory])/MiBPerGiB),
+	parts := []string{"any cores", "any memory"}
+	if r[Cores] < Unlimited {
+		parts[0] = fmt.Sprintf("%g cores", float64(r[Cores])/MilliPerCore)
+	}
+	if r[Memory] < Unlimited {
+		parts[1] = fmt.Sprintf("%.4g GiB", float64(r[Memory])/MiBPerGiB)
 	}
-	if r[Accelerators] != 0 {
-		parts = append(parts, fmt.Sprintf("%d accelerators", r[Accelerators]))
+	if n := r[Accelerators]; n != 0 && n < Unlimited {
+		parts = append(parts, fmt.Sprintf("%d accelerators", n))
 	}
-	if r[Slots] != 0 {
-		parts = append(parts, fmt.Sprintf("%d request slots", r[Slots]))
+	if n := r[Slots]; n != 0 && n < Unlimited {
+		parts = append(parts, fmt.Sprintf("%d request slots", n))
 	}
 	return strings.Join(parts, ", ")
 }
