--- a/internal/control/runs/assign.go
+++ b/internal/control/runs/assign.go
@@ -149,6 +149,9 @@
 // is served before work of the same workspace that stands behind it, unless it could never start.
 func (p *plan) allows(u *unit, amount pj.Resources) bool {
 	workspace := u.record.Workflow.Workspace
+	if p.c.options.State.Rules().Team(workspace) == nil {
+		return true // an open queue's work, or that of a workspace which has left: no rule limits it
+	}
 	if p.limited[workspace] != nil {
 		return false
 	}
--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -297,6 +297,18 @@
 			x.submit("a", pj.Step{Tasks: 8, Task: pj.NewResources(2, 1, 0, 0)})
 			x.is.Equal(len(x.orders.take("start")), 3)
 		}},
+		"work of an open queue has no upper limit": {workers: 1, run: func(x *cell) {
+			x.submitAll(pj.Workflow{ID: "open", Queue: "q", Pool: "pool", Steps: []pj.Step{small}, MaxAttempts: 1})
+			x.is.Equal(len(x.orders.take("start")), 1)
+		}},
+		"work of a workspace that has left is finished": {workers: 1, run: func(x *cell) {
+			x.limit(pj.NewResources(1, 1, 0, 0))
+			x.submit("a", small)
+			x.is.Equal(len(x.orders.take("start")), 0)
+			x.publish()
+			x.pass(100 * time.Millisecond)
+			x.is.Equal(len(x.orders.take("start")), 1)
+		}},
 		"urgent work goes first": {workers: 1, run: func(x *cell) {
 			x.submit("full", pj.Step{Tasks: 1, Task: pj.NewResources(8, 1, 0, 0)})
 			first := x.orders.take("start")[0]
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -115,6 +115,8 @@
 	group  *group
 	orders *orders
 	c      *runs.Controller
+
+	version int64 // of the rules that were published last
 }
 
 const (
@@ -135,6 +137,7 @@
 	}
 	rules.Index()
 	x.lead(1)
+	x.version = rules.Version
 	x.c.Configure(rules, func(int64, error) {})
 	for i := range workers {
 		x.c.Announce(testWorker(fmt.Sprintf("w%d", i)), func(err error) { x.is.NoErr(err) })
@@ -227,7 +230,8 @@
 }
 
 func (x *cell) publish(teams ...pj.Team) {
-	x.c.Configure(pj.Ruleset{Version: 2, Document: []byte("{}"), Pools: []string{"pool"}, Teams: teams}, func(int64, error) {})
+	x.version++
+	x.c.Configure(pj.Ruleset{Version: x.version, Document: []byte("{}"), Pools: []string{"pool"}, Teams: teams}, func(int64, error) {})
 	x.c.Tick()
 }
 
