Runs: a start that was not sent is not waited for

By reading: when the leader's lease has run out for a moment as a start is committed, the start is not sent, but the leader neither knew it as answered nor as unanswered, so no look ever ended the run; the gang waited for it for ever. Change: a start that wasn't sent counts as settled; the next look ends the run. Test: TestLeaseLostForAMoment, seen to fail.

--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -240,6 +240,30 @@
 	}
 }
 
+// TestLeaseLostForAMoment: a start that was committed and not sent, because the leader's lease had run out for a moment,
+// must not be waited for.
+func TestLeaseLostForAMoment(t *testing.T) {
+	x := newCell(t, 1)
+	x.group.holding = true
+	x.submit("a", pj.Step{Tasks: 2, Task: pj.NewResources(2, 2, 0, 0), Gang: true})
+	x.group.serving = false
+	x.group.release() // the workflow
+	x.group.serving = true
+	x.group.holding = true
+	x.flush() // proposes the gang
+	x.group.serving = false
+	x.group.release()
+	x.is.Equal(len(x.orders.take("start")), 0)
+	x.group.serving = true
+	for range 4 {
+		x.pass(100 * time.Millisecond)
+		x.lookAll(nil)
+	}
+	again := x.orders.take("start")
+	x.is.Equal(len(again), 2)
+	x.is.Equal(again[0].run.Run, 2)
+}
+
 // TestPlacing covers where and in which order tasks start.
 func TestPlacing(t *testing.T) {
 	small := pj.Step{Tasks: 1, Task: pj.NewResources(2, 2, 0, 0)}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -82,7 +82,9 @@
 	now := c.options.Clock.Now()
 	w := v.worker
 	if c.deposed || !c.options.Group.Serving() {
-		return // the next leader finds that the worker doesn't have it
+		c.settle(v, false) // nothing was sent, so a look that doesn't list the run proves that it isn't there
+		c.options.Events.Decided("start_not_sent", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", w.ID, "deposed", c.deposed)
+		return
 	}
 	task := v.unit.record.Task(v.id.Task)
 	order := pj.StartOrder{
