Runs, quorum: decisions and appends that a fleet of 350 workers can bear

Ruled out: commits (4 ms a second), events (50 ms), garbage collection (under 7 %). A worker on trial now gets one task, not all of one decision. Tests: 'entries gather' and TestTrial fail without their change (run with it taken out). Conclusion: kept; the calls to workers are what is left.

--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -7,6 +7,10 @@
 	pj "papayajunction"
 )
 
+// appendGap is the least time between two appends to a member that hasn't acknowledged the first. Without it a busy leader
+// sends thousands of messages a second; with it a commit waits for as long at most.
+const appendGap = 8 * time.Millisecond
+
 // progress is what the leader knows of another member.
 type progress struct {
 	match      uint64
@@ -15,6 +19,7 @@
 	ackedSent  time.Duration // when the newest acknowledged round was sent
 	heard      bool
 	movedAt    time.Duration // when match last moved or entries were first sent after that
+	sentAt     time.Duration // when entries were last sent
 	snapshotAt time.Duration // when a snapshot was last sent; 0 if none is on its way
 
 	snapshotRound uint64 // the round in which it was sent
@@ -70,7 +75,8 @@
 	}
 	last := c.log.lastIndex()
 	var entries []pj.LogEntry
-	if p.next <= last && p.next-p.match <= c.options.MaxInFlight && (p.heard || p.next == p.match+1 || heartbeat) {
+	gathers := p.match+1 < p.next && now < p.sentAt+appendGap // what comes meanwhile goes together
+	if p.next <= last && !gathers && p.next-p.match <= c.options.MaxInFlight && (p.heard || p.next == p.match+1 || heartbeat) {
 		entries = c.log.slice(p.next, last, c.options.MaxBatchBytes)
 	}
 	if len(entries) == 0 && !heartbeat {
@@ -85,6 +91,7 @@
 			p.movedAt = now
 		}
 		p.next += uint64(len(entries))
+		p.sentAt = now
 	}
 }
 
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -216,6 +216,29 @@
 			c.Tick(now + 2*timeout + time.Millisecond)
 			is.Equal(c.Lead().IsLeader, false)
 		},
+		"entries gather while a member has others to acknowledge": func(t *testing.T, is *is.I) {
+			c := newCore(0, self, other, third)
+			now := elect(c)
+			round := lastAppend(t, work(c, now).Early).Round
+			ack(c, now, 2, round)
+			work(c, now)
+			sent, entries := 0, 0
+			for range 40 { // one command each millisecond
+				now += time.Millisecond
+				_, _, err := c.Propose([]byte("x"))
+				is.NoErr(err)
+				for _, m := range work(c, now).Early {
+					if m.To == other && len(m.Entries) > 0 {
+						sent++
+						entries += len(m.Entries)
+					}
+				}
+			}
+			is.Equal(sent, 5)                                           // at once, then every 8 ms
+			is.Equal(entries, 33)                                       // what came since is on its way next
+			ack(c, now, 2+33, round)                                    // all is acknowledged
+			is.Equal(len(lastAppend(t, work(c, now).Early).Entries), 7) // so nothing waits
+		},
 		"a member whose disk fails takes no part": func(_ *testing.T, is *is.I) {
 			c := newCore(0, self, other, third)
 			c.SetPassive(0, true)
--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -27,9 +27,15 @@
 
 // ticket lets the tasks of a step start on one life of a worker for some time.
 type ticket struct {
-	text  string
-	born  int64
-	until time.Duration
+	worker *worker
+	text   string
+	born   int64
+	until  time.Duration
+}
+
+// fresh reports whether a task may start with the ticket now; without a policy none is needed.
+func (t *ticket) fresh(now time.Duration) bool {
+	return t == nil || (t.born == t.worker.Born && now < t.until)
 }
 
 // asker is a VM that can ask the policy; each VM's questions are answered one after the other.
@@ -95,15 +101,34 @@
 	a.distance += time.Duration(distanceWeight * float64(late-a.distance))
 }
 
+// cost returns how long a question about so many workers takes.
+func (u *unit) cost(names int) time.Duration {
+	policy := u.record.Workflow.Advice
+	return time.Duration((policy.DecisionMS + policy.PerWorkerMS*float64(names)) * float64(time.Millisecond))
+}
+
+// allBusy reports whether this decision has already found no VM for questions like the unit's.
+func (p *plan) allBusy(u *unit) bool {
+	return *p.busy(u.cost(0))
+}
+
+// busy holds whether no VM was found for questions that take as long.
+func (p *plan) busy(cost time.Duration) *bool {
+	if cost >= longQuestion {
+		return &p.busyLong
+	}
+	return &p.busyShort
+}
+
 // ask asks which of the workers may run a step.
-func (c *Controller) ask(now time.Duration, u *unit, names []string) {
-	if len(names) == 0 || u.asking {
+func (p *plan) ask(u *unit, names []string) {
+	if len(names) == 0 {
 		return
 	}
-	policy := u.record.Workflow.Advice
-	cost := time.Duration((policy.DecisionMS + policy.PerWorkerMS*float64(len(names))) * float64(time.Millisecond))
+	c, now, cost := p.c, p.now, u.cost(len(names))
 	a := c.pickAsker(now, cost)
 	if a == nil {
+		*p.busy(cost) = true
 		return
 	}
 	a.busyUntil = max(a.busyUntil, now) + cost
@@ -139,7 +164,7 @@
 		validity = time.Duration(u.record.Workflow.Advice.ValidityMS) * time.Millisecond
 	}
 	for _, t := range answer.Good {
-		u.good[t.Worker] = &ticket{text: t.Ticket, born: lives[t.Worker], until: now + validity - ticketSlack}
+		u.takeTicket(ticket{worker: c.workers[t.Worker], text: t.Ticket, born: lives[t.Worker], until: now + validity - ticketSlack})
 	}
 	queue := u.record.Workflow.Queue
 	share := float64(len(answer.Good)) / float64(len(lives))
@@ -162,21 +187,25 @@
 	}
 }
 
-// fresh returns the ticket with which the unit's tasks may start on a worker now.
-func (u *unit) fresh(now time.Duration, w *worker) (string, bool) {
-	if u.record.Workflow.Advice == nil {
-		return "", true
+// takeTicket keeps a ticket in place of an earlier one for the same worker.
+func (u *unit) takeTicket(t ticket) {
+	if t.worker == nil {
+		return // it has left meanwhile
 	}
-	t := u.good[w.ID]
-	if t == nil || t.born != w.Born || now >= t.until {
-		return "", false
+	if held := u.good[t.worker.ID]; held != nil {
+		*held = t
+		return
 	}
-	return t.text, true
+	u.good[t.worker.ID] = &t
+	u.tickets = append(u.tickets, &t)
 }
 
-// allowed reports whether the policy is known to allow the worker, with or without a fresh ticket.
-func (u *unit) allowed(w *worker) bool {
-	return u.record.Workflow.Advice == nil || u.good[w.ID] != nil
+// ticketText returns what a start on the worker carries.
+func (u *unit) ticketText(w *worker) string {
+	if t := u.good[w.ID]; t != nil {
+		return t.text
+	}
+	return ""
 }
 
 // unknown returns workers to ask about for a number of tasks: those with most room that weren't asked about.
@@ -186,8 +215,9 @@
 		room int
 	}
 	var choices []choice
+	avoided := p.c.blame.Avoid(u.id.Workflow)
 	for _, w := range p.workers {
-		if u.asked[w.ID] || !p.suits(w, u) {
+		if u.asked[w.ID] || !u.suits(w, avoided) {
 			continue
 		}
 		choices = append(choices, choice{id: w.ID, room: times(p.free(w), u.amount)})
--- /dev/null
+++ b/internal/control/runs/bench_test.go
@@ -0,0 +1,176 @@
+package runs_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	pj "papayajunction"
+)
+
+// fleet is a cell whose workers carry out what they are told, for benchmarks of what the leader computes.
+type fleet struct {
+	*cell
+
+	rand    *rand.Rand
+	running map[string][]*task
+	numbers map[string]int64
+	begun   int // starts so far
+	next    int // number of the next workflow
+}
+
+type task struct {
+	run  pj.RunID
+	ends time.Duration
+}
+
+// kind is a queue with the workflows that callers hand in there.
+type kind struct {
+	queue     string
+	priority  int
+	perSecond float64
+	tasks     int
+	cores     float64
+	runs      time.Duration
+	advice    pj.AdvicePolicy
+	good      float64 // part of the workers that the policy allows
+}
+
+var kinds = []kind{
+	{queue: "long", priority: 1, perSecond: 4.3, tasks: 20, cores: 18, runs: 5 * time.Second, advice: pj.AdvicePolicy{DecisionMS: 430, PerWorkerMS: 6.2, ValidityMS: 2500}, good: 0.35},
+	{queue: "middle", priority: 2, perSecond: 7.2, tasks: 37, cores: 6.9, runs: 3400 * time.Millisecond, advice: pj.AdvicePolicy{DecisionMS: 130, PerWorkerMS: 1.8, ValidityMS: 2500}, good: 0.45},
+	{queue: "short", priority: 0, perSecond: 125, tasks: 3, cores: 9.9, runs: 640 * time.Millisecond, advice: pj.AdvicePolicy{DecisionMS: 7.2, PerWorkerMS: 0.1, ValidityMS: 2500}, good: 0.7},
+}
+
+const benchTeams = 20
+
+func newFleet(workers int) *fleet {
+	x := newCellOf(func(i int) pj.CalledWorker {
+		w := testWorker(fmt.Sprintf("w%d", i))
+		w.Capacity = pj.NewResources(64, 128, 0, 0)
+		return w
+	}, workers)
+	f := &fleet{cell: x, rand: rand.New(rand.NewPCG(1, 2)), running: make(map[string][]*task), numbers: make(map[string]int64)}
+	shares := make(map[string]float64)
+	for i := range benchTeams {
+		shares[fmt.Sprintf("team-%d", i)] = 1
+	}
+	f.teams(shares)
+	vms := make([]string, 38)
+	for i := range vms {
+		vms[i] = fmt.Sprintf("vm-%d", i)
+	}
+	f.c.SetAskers(vms)
+	return f
+}
+
+// pass lets time go by in steps in which the workers work and callers hand in load times the usual.
+func (f *fleet) pass(span time.Duration, load float64) {
+	const step = 5 * time.Millisecond
+	for range int(span / step) {
+		f.clock.now += step
+		for i := range kinds {
+			if f.rand.Float64() < kinds[i].perSecond*load*step.Seconds() {
+				f.submitKind(&kinds[i])
+			}
+		}
+		f.answer()
+		if f.clock.now%(60*time.Millisecond) == 0 {
+			f.c.Tick()
+		}
+		f.flush()
+	}
+}
+
+func (f *fleet) submitKind(k *kind) {
+	f.next++
+	policy := k.advice
+	w := pj.Workflow{
+		ID: fmt.Sprintf("%016x", f.next), Queue: k.queue, Workspace: fmt.Sprintf("team-%d", f.rand.IntN(benchTeams)), Pool: "pool",
+		Spec: "s", Priority: k.priority, MaxAttempts: 3, Stretch: 2, ObjectiveMS: 400, Advice: &policy,
+		Steps: []pj.Step{{Tasks: 1 + f.rand.IntN(2*k.tasks-1), Task: pj.NewResources(k.cores*(0.5+f.rand.Float64()), 10, 0, 0), EstimateMS: k.runs.Milliseconds()}},
+	}
+	f.c.Submit(w, func(error) {})
+}
+
+// answer carries out the orders that were sent and answers the looks at workers on which something has ended.
+func (f *fleet) answer() {
+	sent := f.orders.sent
+	f.orders.sent = nil
+	for _, o := range sent {
+		switch o.kind {
+		case "start":
+			f.begun++
+			f.running[o.worker] = append(f.running[o.worker], &task{run: o.run, ends: f.clock.now + time.Duration((0.5+f.rand.Float64())*float64(f.runTime(o.run)))})
+			o.answer(nil)
+		case "advise":
+			f.advise(o)
+		case "hold":
+			if !f.look(o) {
+				f.orders.sent = append(f.orders.sent, o)
+			}
+		}
+	}
+}
+
+func (f *fleet) runTime(id pj.RunID) time.Duration {
+	r := f.group.state.Record(id.Task.Workflow)
+	return time.Duration(r.Workflow.Steps[id.Task.Step].EstimateMS) * time.Millisecond
+}
+
+func (f *fleet) advise(o *order) {
+	good := 0.5
+	for i := range kinds {
+		if r := f.group.state.Record(o.step.Workflow); r != nil && r.Workflow.Queue == kinds[i].queue {
+			good = kinds[i].good
+		}
+	}
+	var a pj.Advice
+	for _, name := range o.names {
+		if f.rand.Float64() < good {
+			a.Good = append(a.Good, pj.Ticket{Worker: name, Ticket: "t"})
+		}
+	}
+	o.advise(a, nil)
+}
+
+// look answers a look if something has ended on the worker or the look wasn't to wait.
+func (f *fleet) look(o *order) bool {
+	a := pj.HoldAnswer{Born: bornAt, ClockMS: f.clock.now.Milliseconds() + 1}
+	left := f.running[o.worker][:0]
+	for _, t := range f.running[o.worker] {
+		if f.clock.now < t.ends {
+			left = append(left, t)
+			a.Running = append(a.Running, pj.RunningRow{Run: t.run, Progress: int(f.clock.now / (100 * time.Millisecond) % 100)})
+			continue
+		}
+		f.numbers[o.worker]++
+		a.Finished = append(a.Finished, pj.EndRow{Number: f.numbers[o.worker], Run: t.run, How: pj.EndDone})
+	}
+	f.running[o.worker] = left
+	if len(a.Finished) == 0 && o.hold.Wait > 0 && f.rand.IntN(300) > 0 {
+		return false
+	}
+	o.looked(a, nil)
+	return true
+}
+
+// BenchmarkSecond is what the leader computes in one second of the traffic of a fleet, and with more than it can serve.
+func BenchmarkSecond(b *testing.B) {
+	for _, load := range []float64{1, 3} {
+		for _, workers := range []int{35, 350, 1400} {
+			b.Run(fmt.Sprintf("workers=%d/load=%v", workers, load), func(b *testing.B) {
+				f := newFleet(workers)
+				part := load * float64(workers) / 350
+				f.pass(10*time.Second, part)
+				begun := f.begun
+				b.ResetTimer()
+				for b.Loop() {
+					f.pass(time.Second, part)
+				}
+				b.ReportMetric(float64(f.begun-begun)/float64(b.N), "starts/op")
+			})
+		}
+	}
+}
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -76,6 +76,7 @@
 	version   int64 // of the rules that the ledger was set from
 
 	workers map[string]*worker
+	sorted  []*worker // the same in order of their ids
 	units   map[pj.StepID]*unit
 
 	byWorkflow map[string][]*unit
@@ -85,9 +86,12 @@
 	askers     map[string]*asker
 	shares     map[string]float64 // part of the workers that a queue's policy allows, as seen so far
 
-	batch    batch
-	dirty    bool // something changed since the last decision
-	forgotAt time.Duration
+	batch batch
+	dirty bool // something changed since the last decision
+
+	decisions  uint64        // so far
+	decideFrom time.Duration // when the next one may be made
+	forgotAt   time.Duration
 }
 
 // batch is what the next command will hold.
@@ -205,9 +209,9 @@
 	if c.closed || c.deposed || !c.options.Group.Serving() {
 		return
 	}
-	if c.dirty {
+	if now := c.options.Clock.Now(); c.dirty && now >= c.decideFrom {
 		c.dirty = false
-		c.decide(c.options.Clock.Now())
+		c.decide(now)
 	}
 	c.commitBatch()
 }
--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -488,3 +488,24 @@
 		})
 	}
 }
+
+// TestTrial: a worker that failed everything gets one task once its quarantine is over, however many wait.
+func TestTrial(t *testing.T) {
+	x := newCell(t, 1)
+	for _, id := range []string{"a", "b", "c"} {
+		x.submit(id, oneTask())
+		start := x.orders.take("start")[0]
+		start.answer(nil)
+		x.pass(100 * time.Millisecond)
+		number := int64(id[0]-'a') + 1
+		x.lookAll(map[string]pj.HoldAnswer{"w0": {Finished: []pj.EndRow{{Number: number, Run: start.run, How: pj.EndFailed}}}})
+		x.c.Cancel(id, "team", func(error) {})
+	}
+	x.orders.take("start")
+	x.submit("many", pj.Step{Tasks: 3, Task: pj.NewResources(1, 1, 0, 0), EstimateMS: 1000})
+	for range 40 {
+		x.pass(time.Second)
+		x.lookAll(nil)
+	}
+	x.is.Equal(len(x.orders.take("start")), 1)
+}
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -129,8 +129,15 @@
 // newCell returns a cell with workers of 8 cores each that have answered their first look.
 func newCell(t *testing.T, workers int) *cell {
 	t.Helper()
+	x := newCellOf(func(i int) pj.CalledWorker { return testWorker(fmt.Sprintf("w%d", i)) }, workers)
+	x.is = is.New(t)
+	return x
+}
+
+// newCellOf returns a cell with the workers that describe names.
+func newCellOf(describe func(int) pj.CalledWorker, workers int) *cell {
 	state := workflow.NewState()
-	x := &cell{is: is.New(t), clock: &clock{now: time.Second}, group: &group{state: state, serving: true}, orders: &orders{}}
+	x := &cell{clock: &clock{now: time.Second}, group: &group{state: state, serving: true}, orders: &orders{}}
 	rules := pj.Ruleset{
 		Version: 1, Document: []byte("{}"), Pools: []string{"pool"},
 		Teams: []pj.Team{{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: pj.NewResources(1000, 1000, 10, 0)}}},
@@ -140,7 +147,7 @@
 	x.version = rules.Version
 	x.c.Configure(rules, func(int64, error) {})
 	for i := range workers {
-		x.c.Announce(testWorker(fmt.Sprintf("w%d", i)), func(err error) { x.is.NoErr(err) })
+		x.c.Announce(describe(i), func(error) {})
 	}
 	x.c.Flush()
 	x.c.Tick()
--- a/internal/control/runs/gang.go
+++ b/internal/control/runs/gang.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	pj "papayajunction"
@@ -19,17 +18,16 @@
 		p.askFirst(u)
 		return
 	}
-	before := maps.Clone(p.claimed)
 	places := p.placeGang(u, n)
 	stale := p.staleOf(u, places)
 	if allowed && len(places) == n && len(stale) == 0 {
-		p.claimed = before
+		p.unclaim(places, u.amount)
 		p.startGang(u, places)
 		return
 	}
 	switch {
 	case len(places) < n && (p.gangs >= claimGangs || !p.couldFit(u, n)):
-		p.claimed = before
+		p.unclaim(places, u.amount)
 	case len(places) < n:
 		p.gangs++
 		p.gatherRoom(u, n-len(places))
@@ -49,7 +47,7 @@
 func (p *plan) staleOf(u *unit, places []*worker) map[string]struct{} {
 	stale := make(map[string]struct{})
 	for _, w := range places {
-		if _, fresh := u.fresh(p.now, w); !fresh {
+		if t := u.good[w.ID]; u.record.Workflow.Advice != nil && !t.fresh(p.now) {
 			stale[w.ID] = struct{}{}
 		}
 	}
@@ -73,8 +71,8 @@
 		part float64
 	}
 	var choices []choice
-	for _, w := range p.workers {
-		if u.allowed(w) && p.suits(w, u) && u.amount.FitsWhereUsed(w.Capacity) {
+	for w := range p.places(u) {
+		if u.amount.FitsWhereUsed(w.Capacity) {
 			choices = append(choices, choice{w: w, part: partFree(p.free(w), u.amount)})
 		}
 	}
@@ -98,11 +96,11 @@
 // addSpares adds further workers that the policy allows and that have room, because urgent work may take
 // some of the chosen places before the answer is there.
 func (p *plan) addSpares(u *unit, names map[string]struct{}) {
-	for _, w := range p.workers {
+	for w, t := range p.places(u) {
 		if len(names) >= nameMost {
 			return
 		}
-		if _, fresh := u.fresh(p.now, w); !fresh && u.allowed(w) && p.suits(w, u) && p.fits(w, u, 0) {
+		if !t.fresh(p.now) && p.room(w, u) > 0 {
 			names[w.ID] = struct{}{}
 		}
 	}
@@ -110,16 +108,9 @@
 
 // placeGang claims room for as many members of a gang as possible and returns where.
 func (p *plan) placeGang(u *unit, n int) []*worker {
-	var places []*worker
-	extra := make(map[*worker]int)
-	for len(places) < n {
-		w := p.best(u, func(w *worker) bool { return p.fits(w, u, extra[w]) })
-		if w == nil {
-			break
-		}
+	places := p.spread(u, n, false)
+	for _, w := range places {
 		p.claim(w, u.amount)
-		extra[w]++
-		places = append(places, w)
 	}
 	return places
 }
@@ -127,14 +118,12 @@
 // couldFit reports whether the workers that the policy allows could hold a gang if they were empty.
 func (p *plan) couldFit(u *unit, n int) bool {
 	room := 0
-	for _, w := range p.workers {
-		if u.allowed(w) && p.suits(w, u) {
-			each := times(w.Capacity, u.amount)
-			if u.spec.AntiAffinity > 0 {
-				each = min(each, u.spec.AntiAffinity)
-			}
-			room += each
+	for w := range p.places(u) {
+		each := times(w.Capacity, u.amount)
+		if u.spec.AntiAffinity > 0 {
+			each = min(each, u.spec.AntiAffinity)
 		}
+		room += each
 	}
 	return room >= n
 }
--- a/internal/control/runs/unit.go
+++ b/internal/control/runs/unit.go
@@ -26,8 +26,9 @@
 
 	limited bool // the workspace's upper limit has held it back
 	asking  bool
-	asked   map[string]bool // workers that the policy was asked about
-	good    map[string]*ticket
+	asked   map[string]bool    // workers that the policy was asked about
+	good    map[string]*ticket // by worker
+	tickets []*ticket          // the same in order of arrival
 }
 
 // unit returns the unit of a step and makes it if there is none.
@@ -64,6 +65,15 @@
 	c.byWorkflow[u.id.Workflow] = rest
 }
 
+// suits reports whether the unit's tasks may run on a worker, whatever its room and the queue's policy.
+func (u *unit) suits(w *worker, avoided map[string]struct{}) bool {
+	if w.Pool != u.record.Workflow.Pool || (u.spec.Label != "" && !slices.Contains(w.Labels, u.spec.Label)) {
+		return false
+	}
+	_, avoid := avoided[w.ID]
+	return !avoid
+}
+
 // compare puts urgent work first, then what is due first.
 func (u *unit) compare(o *unit) int {
 	return cmp.Or(
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	pj "papayajunction"
@@ -23,12 +25,13 @@
 type worker struct {
 	pj.CalledWorker
 
-	free    pj.Resources
-	runs    map[pj.RunID]*run
-	acked   int64 // ends up to this number are committed
-	leftAt  time.Duration
-	usable  bool
-	looking bool
+	free      pj.Resources
+	runs      map[pj.RunID]*run
+	acked     int64 // ends up to this number are committed
+	leftAt    time.Duration
+	usable    bool
+	forgotten bool // it is not among the workers any more
+	looking   bool
 
 	heard      bool          // it answered a look of this leader
 	heardAt    time.Duration // when it last did
@@ -38,16 +41,26 @@
 	boundUntil time.Duration // until then a lease may run that is longer than untilMS says
 	nextLook   time.Duration
 	unhealthy  time.Duration // until then it gets no new task
+	openIn     uint64        // the decision in which it takes new tasks
+	claimedIn  uint64        // the decision in which room is claimed
+	claimed    pj.Resources  // by units that wait for more
 	slowness   float64       // usual run times that a run takes here, as lately seen; 0 if nothing was seen
 }
 
 func (c *Controller) addWorker(info pj.CalledWorker) *worker {
 	w := &worker{CalledWorker: info, free: info.Capacity, runs: make(map[pj.RunID]*run), heardAt: c.since}
 	c.workers[info.ID] = w
+	at, _ := slices.BinarySearchFunc(c.sorted, info.ID, compareID)
+	c.sorted = slices.Insert(c.sorted, at, w)
 	c.refreshCapacity()
 	return w
 }
 
+// Workers returns how many workers are known.
+func (c *Controller) Workers() int {
+	return len(c.workers)
+}
+
 func (c *Controller) refreshCapacity() {
 	var total pj.Resources
 	for _, w := range c.workers {
@@ -332,7 +345,7 @@
 
 // tickWorkers looks at workers whose time has come and gives up what silent ones ran.
 func (c *Controller) tickWorkers(now time.Duration) {
-	for _, w := range c.workers {
+	for _, w := range slices.Clone(c.sorted) {
 		c.setUsable(now, w)
 		c.look(w)
 		gone := w.leftAt != 0 && now >= w.leftAt+leaveDelay && w.leftAt > c.since
@@ -356,9 +369,17 @@
 			return
 		}
 		delete(c.workers, w.ID)
+		w.forgotten = true
+		if at, ok := slices.BinarySearchFunc(c.sorted, w.ID, compareID); ok {
+			c.sorted = slices.Delete(c.sorted, at, at+1)
+		}
 	}
 }
 
+func compareID(w *worker, id string) int {
+	return strings.Compare(w.ID, id)
+}
+
 func (c *Controller) setUsable(now time.Duration, w *worker) {
 	usable := w.heard && now <= w.heardAt+quietAfter && !c.blame.Quarantined(now, w.ID)
 	if usable != w.usable {
