Cluster: replicas call the workers for the leader of a large fleet

In a burst it lost its lead, and nothing was served afterwards. Change: from 100 workers on the leader passes orders, gathered for 15 ms, to a replica in the workers' zone or region, which calls them and sends the answers back in the same way. An order that a relay has held for 300 ms isn't sent; a relay that can't be reached is avoided for 3 s, and then the leader calls itself. What has no answer is open, as before. Weighed: entries as relays (2 Mbit/s, 0.192 cores); fewer looks (they are one for each end already). Tests: TestRelays (calm, a relay lost, the leader lost) fails where nothing is relayed. The small sites don't relay.

--- a/cmd/papayacell/main.go
+++ b/cmd/papayacell/main.go
@@ -77,7 +77,7 @@
 	client, closeClient := platform.NewClient(s.Advice)
 	defer closeClient()
 	vm, closeVM, err := cluster.New(cluster.Options{
-		Address: s.PeerAddress(), Rank: s.Rank(), Replica: s.Role == settings.RoleReplica, DataDir: s.DataDir,
+		Address: s.PeerAddress(), Zone: s.Zone, Region: s.Region, Rank: s.Rank(), Replica: s.Role == settings.RoleReplica, DataDir: s.DataDir,
 		Bootstrap: s.Bootstrap, Seeds: func() []string { return current.Load().PeerSeeds() },
 		PublicPort: s.ControlPort(), Link: client, Advisor: client, Logger: logger, Metrics: set,
 	})
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -35,7 +35,9 @@
 // Options configure a VM.
 type Options struct {
 	Address    string // where the other VMs reach this one, an IP and port; it is the VM's name too
-	Rank       int    // VMs of a lower rank lead if they can
+	Zone       string // availability zone
+	Region     string
+	Rank       int // VMs of a lower rank lead if they can
 	Replica    bool
 	DataDir    string
 	Bootstrap  bool // the system starts for the first time
@@ -200,7 +202,10 @@
 	v.syncing.Lock()
 	defer v.syncing.Unlock()
 	asked := v.clock.Now()
-	request := syncRequest{VM: v.options.Address, Rank: v.options.Rank, Version: v.book.Rules().Version, Have: v.book.Rules().Document != nil}
+	request := syncRequest{
+		VM: v.options.Address, Rank: v.options.Rank, Zone: v.options.Zone, Region: v.options.Region, Replica: v.options.Replica,
+		Version: v.book.Rules().Version, Have: v.book.Rules().Document != nil,
+	}
 	var reply syncReply
 	if err := v.call(ctx, opSync, request, &reply); err != nil {
 		return err
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,10 +32,22 @@
 
 type member struct {
 	vm    *cluster.VM
+	calls *countedLink
 	data  string
 	close func()
 }
 
+// countedLink counts the starts that a VM sends.
+type countedLink struct {
+	pj.WorkerLink
+	starts atomic.Int64
+}
+
+func (l *countedLink) Start(ctx context.Context, w *pj.CalledWorker, o pj.StartOrder) (int64, error) {
+	l.starts.Add(1)
+	return l.WorkerLink.Start(ctx, w, o)
+}
+
 func newSystem(t *testing.T, workers int) *system {
 	t.Helper()
 	s := &system{t: t, is: is.New(t), vms: make(map[string]*member)}
@@ -41,7 +55,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		infos = append(infos, pj.CalledWorker{
-			ID: id, Born: 1, Sequence: 1, Pool: "pool", Address: id + ":1", Zone: "zone-1", Rack: "r1", Capacity: pj.NewResources(8, 64, 0, 0),
+			ID: id, Born: 1, Sequence: 1, Pool: "pool", Address: id + ":1", Zone: zoneOf(i), Rack: "r1", Capacity: pj.NewResources(8, 64, 0, 0),
 		})
 	}
 	s.fleet = called.New(infos, 200*time.Millisecond)
@@ -73,6 +87,11 @@
 	return s
 }
 
+// zoneOf spreads what is numbered from 0 over the availability zones of the three replicas.
+func zoneOf(i int) string {
+	return fmt.Sprintf("zone-%d", i%3+1)
+}
+
 func freePort(t *testing.T) string {
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -93,9 +112,10 @@
 }
 
 func (s *system) startWith(address string, m *member, replica, bootstrap bool) {
+	m.calls = &countedLink{WorkerLink: s.fleet}
 	vm, closeVM, err := cluster.New(cluster.Options{
 		Address: address, Replica: replica, DataDir: m.data, Bootstrap: bootstrap, Seeds: func() []string { return s.seeds },
-		Link: s.fleet, Logger: kitlog.NewNopLogger(), Metrics: metrics.NewSet(),
+		Zone: zoneOf(slices.Index(s.seeds, address)), Region: "region", Link: m.calls, Logger: kitlog.NewNopLogger(), Metrics: metrics.NewSet(),
 	})
 	s.is.NoErr(err)
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
@@ -257,3 +277,46 @@
 		})
 	}
 }
+
+// relayed returns how many starts were sent by VMs that don't lead.
+func (s *system) relayed() int64 {
+	relayed := int64(0)
+	for address, m := range s.vms {
+		if address != s.leader() {
+			relayed += m.calls.starts.Load()
+		}
+	}
+	return relayed
+}
+
+// TestRelays: in a large fleet the other replicas call the workers for the leader, and the work goes on when a relay or
+// the leader is lost.
+func TestRelays(t *testing.T) {
+	tests := map[string]func(s *system){
+		"calm": func(*system) {},
+		"a relay is lost": func(s *system) {
+			for _, address := range s.seeds {
+				if address != s.leader() {
+					s.stop(address)
+					return
+				}
+			}
+		},
+		"the leader is lost": func(s *system) { s.stop(s.leader()) },
+	}
+	for name, trouble := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 120)
+			s.submit("first", pj.Step{Tasks: 90, Task: pj.NewResources(2, 1, 0, 0)})
+			s.complete("first")
+			s.is.True(s.relayed() > 0) // by replicas that don't lead
+			s.submit("a", diamond()...)
+			trouble(s)
+			s.submit("b", diamond()...)
+			s.complete("a")
+			s.complete("b")
+			s.is.Equal(s.fleet.Breaches(), nil)
+			s.is.Equal(s.fleet.Done(), 110)
+		})
+	}
+}
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -186,7 +186,7 @@
 		return
 	}
 	for _, id := range r.group.Membership().Voters {
-		known, ok := r.ranks[control.VMOf(id)]
+		known, ok := r.peers[control.VMOf(id)]
 		if !ok || known.rank >= r.vm.options.Rank || now < known.since+leadLeast || now > known.heard+askerAlive {
 			continue
 		}
@@ -198,23 +198,6 @@
 	}
 }
 
-// peerRank is the rank that another VM told, and since when it has been heard without a break.
-type peerRank struct {
-	rank  int
-	since time.Duration
-	heard time.Duration
-}
-
-// hearRank takes in the rank of a VM that asked for rules.
-func (r *replica) hearRank(now time.Duration, vm string, rank int) {
-	known, ok := r.ranks[vm]
-	if !ok || now > known.heard+askerAlive {
-		known.since = now
-	}
-	known.rank, known.heard = rank, now
-	r.ranks[vm] = known
-}
-
 // handOver gives the leadership to another voter that has the whole log; it reports whether there is
 // something left to hand over.
 func (r *replica) handOver(now time.Duration) bool {
--- a/internal/server/cluster/messages.go
+++ b/internal/server/cluster/messages.go
@@ -18,6 +18,8 @@
 	opReadRules = "read_rules"
 	opAnnounce  = "announce"
 	opLeave     = "leave"
+	opOrders    = "orders"
+	opAnswers   = "answers"
 )
 
 // helloReply tells the identity of a VM's data folder and whether the group was started there.
@@ -32,10 +34,13 @@
 	Member string `json:"member"`
 }
 
-// syncRequest asks for rules newer than Version.
+// syncRequest asks for rules newer than Version, and says who asks.
 type syncRequest struct {
 	VM      string `json:"vm"`
 	Rank    int    `json:"rank"`
+	Zone    string `json:"zone,omitempty"`
+	Region  string `json:"region,omitempty"`
+	Replica bool   `json:"replica,omitempty"`
 	Version int64  `json:"version"`
 	Have    bool   `json:"have"`
 }
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -19,6 +19,8 @@
 	t[opPublish] = operation.Typed(r.runPublish)
 	t[opReadRules] = operation.Typed(r.runReadRules)
 	t[opAnnounce] = operation.Typed(r.runAnnounce)
+	t[opOrders] = operation.Typed(r.runOrders)
+	t[opAnswers] = operation.Typed(r.runAnswers)
 	t[opLeave] = operation.Typed(r.runLeave)
 }
 
@@ -49,7 +51,7 @@
 	return leading(ctx, r, func(reply func(syncReply, error)) {
 		now := r.vm.clock.Now()
 		r.askers[s.VM] = now
-		r.hearRank(now, s.VM, s.Rank)
+		r.hearPeer(now, s)
 		rules := r.state.Rules()
 		answer := syncReply{Version: rules.Version, Members: r.memberVMs()}
 		if rules.Document != nil && (!s.Have || s.Version < rules.Version) {
--- a/internal/server/cluster/orders.go
+++ b/internal/server/cluster/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	pj "papayajunction"
@@ -14,57 +16,140 @@
 	adviseSlack  = 200 * time.Millisecond
 )
 
-// orders sends the controller's orders on goroutines of their own and reports on the control goroutine.
+// order is one call to a worker; one of the last four fields is set.
+type order struct {
+	Number  uint64         `json:"number"` // names it between the leader and a relay
+	Worker  string         `json:"worker"`
+	Address string         `json:"address"`
+	Start   *pj.StartOrder `json:"start,omitempty"`
+	Stop    *stopOrder     `json:"stop,omitempty"`
+	Hold    *pj.HoldOrder  `json:"hold,omitempty"`
+	Pace    *paceOrder     `json:"pace,omitempty"`
+}
+
+type stopOrder struct {
+	Run   pj.RunID `json:"run"`
+	Fence uint64   `json:"fence"`
+}
+
+type paceOrder struct {
+	Run     pj.RunID `json:"run"`
+	Percent int      `json:"percent"`
+	Fence   uint64   `json:"fence"`
+}
+
+// orderAnswer is what became of an order: the worker's answer, its refusal, or why the outcome is open.
+type orderAnswer struct {
+	Number  uint64           `json:"number"`
+	ClockMS int64            `json:"clock_ms,omitempty"`
+	Held    *pj.HoldAnswer   `json:"held,omitempty"`
+	Refused *pj.RefusedError `json:"refused,omitempty"`
+	Open    string           `json:"open,omitempty"`
+}
+
+// err returns what Orders reports.
+func (a *orderAnswer) err() error {
+	switch {
+	case a.Refused != nil:
+		return a.Refused
+	case a.Open != "":
+		return errors.New(a.Open)
+	}
+	return nil
+}
+
+// timeout returns how long an answer may take.
+func (o *order) timeout() time.Duration {
+	if o.Hold != nil {
+		return o.Hold.Wait + lookSlack
+	}
+	return orderTimeout
+}
+
+// carryOut calls the worker.
+func (v *VM) carryOut(ctx context.Context, o order) orderAnswer {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout())
+	defer cancel()
+	w := &pj.CalledWorker{ID: o.Worker, Address: o.Address}
+	a := orderAnswer{Number: o.Number}
+	var err error
+	switch {
+	case o.Start != nil:
+		a.ClockMS, err = v.options.Link.Start(ctx, w, *o.Start)
+	case o.Stop != nil:
+		a.ClockMS, err = v.options.Link.Stop(ctx, w, o.Stop.Run, o.Stop.Fence)
+	case o.Pace != nil:
+		a.ClockMS, err = v.options.Link.Pace(ctx, w, o.Pace.Run, o.Pace.Percent, o.Pace.Fence)
+	case o.Hold != nil:
+		var held pj.HoldAnswer
+		held, err = v.options.Link.Hold(ctx, w, *o.Hold)
+		a.Held = &held
+	default:
+		err = fmt.Errorf("order %d for worker %s is empty", o.Number, o.Worker)
+	}
+	if err != nil && !errors.As(err, &a.Refused) {
+		a.Open = err.Error()
+	}
+	return a
+}
+
+// orders carries the controller's orders to the workers, through relays if there are some, and reports on the control
+// goroutine.
 type orders struct {
 	replica *replica
+	relays  *relays
 }
 
-// send runs a call and hands its outcome to the control goroutine.
-func send[R any](o *orders, timeout time.Duration, call func(context.Context) (R, error), done func(R, error)) {
+func (o *orders) send(w *pj.CalledWorker, call order, done func(orderAnswer)) {
+	call.Worker, call.Address = w.ID, w.Address
+	if o.relays.pass(w.Zone, call, done) {
+		return
+	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		defer cancel()
-		result, err := call(ctx)
-		o.replica.loop.Post(func() { done(result, err) })
+		a := o.replica.vm.carryOut(context.Background(), call)
+		o.replica.loop.Post(func() { done(a) })
 	}()
 }
 
 // Start is part of runs.Orders.
 func (o *orders) Start(w pj.CalledWorker, s pj.StartOrder, done func(int64, error)) {
-	send(o, orderTimeout, func(ctx context.Context) (int64, error) {
-		return o.replica.vm.options.Link.Start(ctx, &w, s)
-	}, done)
+	o.send(&w, order{Start: &s}, func(a orderAnswer) { done(a.ClockMS, a.err()) })
 }
 
 // Stop is part of runs.Orders.
 func (o *orders) Stop(w pj.CalledWorker, run pj.RunID, fence uint64, done func(int64, error)) {
-	send(o, orderTimeout, func(ctx context.Context) (int64, error) {
-		return o.replica.vm.options.Link.Stop(ctx, &w, run, fence)
-	}, done)
-}
-
-// Hold is part of runs.Orders.
-func (o *orders) Hold(w pj.CalledWorker, h pj.HoldOrder, done func(pj.HoldAnswer, error)) {
-	send(o, h.Wait+lookSlack, func(ctx context.Context) (pj.HoldAnswer, error) {
-		return o.replica.vm.options.Link.Hold(ctx, &w, h)
-	}, done)
+	o.send(&w, order{Stop: &stopOrder{Run: run, Fence: fence}}, func(a orderAnswer) { done(a.ClockMS, a.err()) })
 }
 
 // Pace is part of runs.Orders.
 func (o *orders) Pace(w pj.CalledWorker, run pj.RunID, percent int, fence uint64, done func(int64, error)) {
-	send(o, orderTimeout, func(ctx context.Context) (int64, error) {
-		return o.replica.vm.options.Link.Pace(ctx, &w, run, percent, fence)
-	}, done)
+	o.send(&w, order{Pace: &paceOrder{Run: run, Percent: percent, Fence: fence}}, func(a orderAnswer) { done(a.ClockMS, a.err()) })
+}
+
+// Hold is part of runs.Orders.
+func (o *orders) Hold(w pj.CalledWorker, h pj.HoldOrder, done func(pj.HoldAnswer, error)) {
+	o.send(&w, order{Hold: &h}, func(a orderAnswer) {
+		if a.Held == nil {
+			a.Held = &pj.HoldAnswer{}
+		}
+		done(*a.Held, a.err())
+	})
 }
 
 // Advise is part of runs.Orders.
 func (o *orders) Advise(vm string, step pj.StepID, workers []string, timeout time.Duration, done func(pj.Advice, error)) {
 	v := o.replica.vm
 	request := adviseRequest{Step: step, Workers: workers, WaitMS: timeout.Milliseconds()}
-	send(o, timeout+adviseSlack, func(ctx context.Context) (advice pj.Advice, err error) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout+adviseSlack)
+		defer cancel()
+		var advice pj.Advice
+		var err error
 		if vm == v.options.Address {
-			return v.runAdvise(ctx, request)
+			advice, err = v.runAdvise(ctx, request)
+		} else {
+			err = v.transport.Call(ctx, vm, opAdvise, request, &advice)
 		}
-		return advice, v.transport.Call(ctx, vm, opAdvise, request, &advice)
-	}, done)
+		o.replica.loop.Post(func() { done(advice, err) })
+	}()
 }
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -40,17 +40,21 @@
 	controller *runs.Controller         // nil unless this VM leads
 	askers     map[string]time.Duration // VMs that asked for rules, and when
 	joiners    map[string]time.Duration // members that asked to join, and when
-	ranks      map[string]peerRank
+	peers      map[string]peerInfo      // VMs that asked for rules, as they tell of themselves
 	ledSince   time.Duration
 	workedAt   time.Duration
+	relays     *relays // nil unless this VM leads
+
+	outbox *outbox // answers to the orders of leaders; safe for use by many goroutines
 }
 
 func newReplica(v *VM) (*replica, func(), error) {
 	r := &replica{
 		vm: v, loop: loop.New(), state: workflow.NewState(),
 		askers: make(map[string]time.Duration), joiners: make(map[string]time.Duration),
-		ranks: make(map[string]peerRank),
+		peers: make(map[string]peerInfo),
 	}
+	r.outbox = newOutbox(v)
 	store, closeStore, err := boltlog.New(v.options.DataDir)
 	if err != nil {
 		return nil, nil, fmt.Errorf("open data folder: %w", err)
@@ -102,6 +106,8 @@
 	}
 	r.workedAt = now
 	r.controller.SetAskers(r.liveAskers(now))
+	r.relays.choose(now, r.controller.Workers())
+	r.relays.giveUp(now)
 	r.controller.Tick()
 	r.maintainMembers(now)
 }
@@ -125,6 +131,7 @@
 func (r *replica) flush() {
 	if r.controller != nil {
 		r.controller.Flush()
+		r.relays.flush(r.vm.clock.Now())
 	}
 	r.host.Flush()
 }
@@ -133,7 +140,7 @@
 func (r *replica) leadChanged(serving bool, term uint64) {
 	if r.controller != nil {
 		r.controller.Close()
-		r.controller = nil
+		r.controller, r.relays = nil, nil
 		r.vm.log("lead_lost", "term", term)
 	}
 	if !serving {
@@ -141,12 +148,13 @@
 	}
 	r.vm.log("lead_gained", "term", term, "applied", r.group.Applied())
 	clear(r.joiners)
-	clear(r.ranks)
+	clear(r.peers)
 	r.ledSince = r.vm.clock.Now()
+	r.relays = newRelays(r, term)
 	r.controller = runs.New(runs.Options{
 		Term: term, State: r.state, Group: r.group, Clock: r.vm.clock,
 		Unix:   func() int64 { return time.Now().UnixMilli() },
-		Orders: &orders{replica: r},
+		Orders: &orders{replica: r, relays: r.relays},
 		Events: newEvents(r.vm),
 	})
 	r.controller.SetAskers(r.liveAskers(r.vm.clock.Now()))
