Runs: what is known of an unanswered start stays known

Each look that didn't list the run sent a stop and the next look together; the stop's answer then counted as newer than that look, so the next one proved nothing and sent a stop again, for ever. The job never ended. Ruled out: the stop's delivery (answered each time), the lease (renewed by the looks). Change: the time since which a run's outcome is known is set once; no stop is sent again after that. Test: TestUnansweredStartIsSettledOnce fails without it.

--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -509,3 +509,26 @@
 	}
 	x.is.Equal(len(x.orders.take("start")), 1)
 }
+
+// TestUnansweredStartIsSettledOnce: a stop is answered after the next look has left; the look after that one shows that the
+// run isn't there, however often looks and stops cross.
+func TestUnansweredStartIsSettledOnce(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	x.orders.take("start")[0].answer(errUnanswered)
+	for range 4 {
+		x.pass(1500 * time.Millisecond)
+		looks := x.orders.take("hold")
+		for _, o := range looks {
+			o.looked(pj.HoldAnswer{Born: bornAt, ClockMS: x.clock.now.Milliseconds() + 1}, nil) // sends the next look at once
+		}
+		x.clock.now += time.Millisecond
+		for _, o := range x.orders.take("stop") {
+			o.answer(nil)
+		}
+		x.flush()
+	}
+	starts := x.orders.take("start")
+	x.is.Equal(len(starts), 1)
+	x.is.Equal(starts[0].run.Run, 2)
+}
--- a/internal/control/runs/intake.go
+++ b/internal/control/runs/intake.go
@@ -88,9 +88,11 @@
 	return waiting
 }
 
-// settle notes that a worker has a run, or surely hasn't.
+// settle notes that a worker has a run, or surely hasn't. What is known stays known: looks are compared with when it first was.
 func (c *Controller) settle(v *run, seen bool) {
-	v.settledAt = c.options.Clock.Now()
+	if v.settledAt == 0 {
+		v.settledAt = max(c.options.Clock.Now(), 1)
+	}
 	r := v.unit.record
 	if seen && !r.Started && r.Workflow.Times == 0 && !r.State().Final() {
 		c.begun[r.Workflow.ID] = struct{}{}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -338,7 +338,7 @@
 	case v.phase != phaseStarted || v.ending:
 	case v.settledAt != 0 && v.settledAt <= sent:
 		c.end(v, pj.EndLost, v.saved)
-	case v.unanswered && now >= v.stopSentAt+stopRetry:
+	case v.settledAt == 0 && v.unanswered && now >= v.stopSentAt+stopRetry:
 		c.stop(v, "its start was not answered")
 	}
 }
