--- a/cmd/papayacell/main.go
+++ b/cmd/papayacell/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"flag"
 	"fmt"
@@ -104,7 +105,7 @@
 // servers returns the interfaces of a role.
 func servers(s settings.Cluster, vm *cluster.VM, set *metrics.Set, stopping func() bool) []app.Server {
 	_, peers, _ := peer.NewHandler(s.PeerAddress(), vm, false)
-	list := []app.Server{{Address: s.PeerAddress(), Handler: peers, Peers: true}}
+	list := []app.Server{{Address: cmp.Or(s.ListenPeer, s.PeerAddress()), Handler: peers, Peers: true}}
 	if s.MetricsPort > 0 {
 		list = append(list, app.Server{
 			Address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)),
--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -32,7 +32,8 @@
 	ListenReady   string   // entries: where the balancer asks
 	ListenControl string   // replicas: where workers and operators connect
 	IP            string
-	PeerPort      int // the same on all VMs
+	PeerPort      int    // the same on all VMs
+	ListenPeer    string // where this VM listens for the others, if a forwarder stands at IP and PeerPort
 	MetricsPort   int
 	Seeds         []string // ListenControl of some replicas
 	Bootstrap     bool     // the system starts for the first time
@@ -77,6 +78,7 @@
 	fs.StringVar(&s.ListenControl, "listen_control", s.ListenControl, "replicas: IP and port for workers and operators")
 	fs.StringVar(&s.IP, "ip", s.IP, "address of this VM for the other VMs")
 	fs.IntVar(&s.PeerPort, "peer_port", s.PeerPort, "port for the other VMs, the same on all")
+	fs.StringVar(&s.ListenPeer, "listen_peer", s.ListenPeer, "IP and port where this VM listens for the others, if a forwarder stands at ip and peer_port")
 	fs.IntVar(&s.MetricsPort, "metrics_port", s.MetricsPort, "port for metrics, 0 for none")
 	fs.Var((*stringList)(&s.Seeds), "seeds", "IP and port of a replica's interface for workers and operators; repeat for each")
 	fs.BoolVar(&s.Bootstrap, "bootstrap", s.Bootstrap, "the system starts for the first time, with empty disks")
@@ -133,6 +135,9 @@
 	if s.PeerPort < 1 || s.PeerPort > 65535 {
 		fault("peer_port: %d is not a port", s.PeerPort)
 	}
+	if s.ListenPeer != "" {
+		address("listen_peer", s.ListenPeer)
+	}
 	if len(s.Seeds) == 0 {
 		fault("seeds: at least one is needed")
 	}
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -75,8 +75,7 @@
 	}
 	last := c.log.lastIndex()
 	var entries []pj.LogEntry
-	gathers := p.match+1 < p.next && now < p.sentAt+appendGap // what comes meanwhile goes together
-	if p.next <= last && !gathers && p.next-p.match <= c.options.MaxInFlight && (p.heard || p.next == p.match+1 || heartbeat) {
+	if p.next <= last && (p.heard || p.next == p.match+1 || heartbeat) && !c.waits(now, p) {
 		entries = c.log.slice(p.next, last, c.options.MaxBatchBytes)
 	}
 	if len(entries) == 0 && !heartbeat {
@@ -95,6 +94,12 @@
 	}
 }
 
+// waits reports whether entries for a member gather, or are as many as may be on their way.
+func (c *Core) waits(now time.Duration, p *progress) bool {
+	gathers := p.match+1 < p.next && now < p.sentAt+appendGap
+	return gathers || p.next-p.match > c.options.MaxInFlight
+}
+
 func (c *Core) sendSnapshot(now time.Duration, id string, p *progress, heartbeat bool) {
 	if p.snapshotAt != 0 && now < p.snapshotAt+10*c.options.ElectionTimeout {
 		if heartbeat {
--- a/internal/control/runs/plan.go
+++ b/internal/control/runs/plan.go
@@ -61,14 +61,22 @@
 // ticket for it if the queue has a policy.
 func (p *plan) places(u *unit) iter.Seq2[*worker, *ticket] {
 	avoided := p.c.blame.Avoid(u.id.Workflow)
-	open := func(w *worker) bool {
-		p.visits++
-		return w.openIn == p.number && u.suits(w, avoided)
+	return func(yield func(*worker, *ticket) bool) {
+		for w, t := range p.candidates(u) {
+			p.visits++
+			if w.openIn == p.number && u.suits(w, avoided) && !yield(w, t) {
+				return
+			}
+		}
 	}
+}
+
+// candidates yields the workers that a unit's policy is known to allow, or all without one.
+func (p *plan) candidates(u *unit) iter.Seq2[*worker, *ticket] {
 	return func(yield func(*worker, *ticket) bool) {
 		if u.record.Workflow.Advice == nil {
 			for _, w := range p.workers {
-				if open(w) && !yield(w, nil) {
+				if !yield(w, nil) {
 					return
 				}
 			}
@@ -78,7 +86,7 @@
 			if t.worker.forgotten && p.c.workers[t.worker.ID] != nil {
 				t.worker = p.c.workers[t.worker.ID]
 			}
-			if open(t.worker) && !yield(t.worker, t) {
+			if !yield(t.worker, t) {
 				return
 			}
 		}
--- a/internal/server/cluster/relay.go
+++ b/internal/server/cluster/relay.go
@@ -174,14 +174,15 @@
 	return struct{}{}, nil
 }
 
-// runOrders carries out orders for the leader, each by itself.
-func (r *replica) runOrders(_ context.Context, q ordersRequest) (struct{}, error) {
+// runOrders carries out orders for the leader, each by itself; the answers follow later.
+func (r *replica) runOrders(ctx context.Context, q ordersRequest) (struct{}, error) {
+	ctx = context.WithoutCancel(ctx)
 	received := r.vm.clock.Now()
 	for _, o := range q.Orders {
 		go func() {
 			a := orderAnswer{Number: o.Number, Open: openRelayLate}
 			if r.vm.clock.Now() <= received+relayLate { // else this VM was suspended meanwhile
-				a = r.vm.carryOut(context.Background(), o)
+				a = r.vm.carryOut(ctx, o)
 			}
 			r.outbox.add(q.Leader, q.Term, a)
 		}()
--- a/internal/standin/called/called.go
+++ b/internal/standin/called/called.go
@@ -64,6 +64,13 @@
 	return len(f.done)
 }
 
+// Finished returns whether a task has finished.
+func (f *Fleet) Finished(task pj.TaskID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[task] > 0
+}
+
 // Silence makes a worker leave all calls unanswered, or ends that.
 func (f *Fleet) Silence(id string, silent bool) {
 	f.mu.Lock()
