Runs: gangs start where their tickets are valid now

Ruled out: the workspace's limit (allowed), askers (28 of 38 idle), room (places for all). Change: places whose tickets have to be renewed come behind all others. Test: TestGangTakesFreshTickets fails without it.

--- a/internal/control/runs/controller_test.go
+++ b/internal/control/runs/controller_test.go
@@ -532,3 +532,36 @@
 	x.is.Equal(len(starts), 1)
 	x.is.Equal(starts[0].run.Run, 2)
 }
+
+// TestGangTakesFreshTickets: a gang starts where its tickets are valid now, though another place would be tighter.
+func TestGangTakesFreshTickets(t *testing.T) {
+	x := newCell(t, 3)
+	x.c.SetAskers([]string{"vm"})
+	x.submit("filler", pj.Step{Tasks: 1, Task: pj.NewResources(1, 1, 0, 0), EstimateMS: 60000}) // makes w0 the tightest
+	filler := x.orders.take("start")
+	filler[0].answer(nil)
+	x.submitAll(pj.Workflow{
+		ID: "gang", Queue: "q", Workspace: "team", Pool: "pool", MaxAttempts: 2, Advice: &pj.AdvicePolicy{DecisionMS: 10, ValidityMS: 5000},
+		Steps: []pj.Step{{Tasks: 2, Gang: true, Task: pj.NewResources(7, 8, 0, 0)}},
+	})
+	x.orders.take("advise")[0].advise(pj.Advice{Good: []pj.Ticket{{Worker: "w0"}, {Worker: "w1"}, {Worker: "w2"}}}, nil)
+	x.flush()
+	var other *order
+	for _, o := range x.orders.take("start") {
+		if o.worker == "w0" {
+			o.answer(&pj.RefusedError{Reason: pj.RefusedTicket}) // so this ticket has to be renewed
+			continue
+		}
+		o.answer(nil)
+		other = o
+	}
+	x.flush()
+	x.orders.take("stop")[0].answer(nil)
+	for range 2 {
+		x.pass(50 * time.Millisecond)
+		rows := map[string]pj.HoldAnswer{"w0": {Running: []pj.RunningRow{{Run: filler[0].run}}}}
+		rows[other.worker] = pj.HoldAnswer{Finished: []pj.EndRow{{Number: 1, Run: other.run, How: pj.EndStopped}}}
+		x.lookAll(rows)
+	}
+	x.is.Equal(len(x.orders.take("start")), 2) // on w1 and w2, without an answer to a further question
+}
--- a/internal/control/runs/plan.go
+++ b/internal/control/runs/plan.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// staleScore puts workers whose tickets have to be renewed behind all others: while a gang waits for their tickets, the others'
+// become too old.
+const staleScore = 10.0
+
 // place is a worker with the room that it has for tasks of a unit.
 type place struct {
 	worker *worker
@@ -109,7 +113,11 @@
 			continue
 		}
 		if room := p.room(w, u); room > 0 {
-			choices = append(choices, place{worker: w, score: p.score(w, u), room: room})
+			score := p.score(w, u)
+			if !t.fresh(p.now) {
+				score += staleScore
+			}
+			choices = append(choices, place{worker: w, score: score, room: room})
 		}
 	}
 	slices.SortStableFunc(choices, func(a, b place) int { return cmp.Compare(a.score, b.score) })
