Cluster: entries bound their calls to the leader

Ruled out: the workers' looks (relayed), the log (5 ms a second). A leader doesn't run a call whose caller has given up.

--- a/called.go
+++ b/called.go
@@ -36,28 +36,28 @@
 
 // StartOrder asks a worker to start a run.
 type StartOrder struct {
-	Run        RunID
-	Spec       string
-	UntilMS    int64 // end of the lease, on the worker's clock
-	Fence      uint64
-	Checkpoint string
-	Ticket     string // of the queue's policy, if it has one
+	Run        RunID  `json:"run"`
+	Spec       string `json:"spec,omitempty"`
+	UntilMS    int64  `json:"until_ms"` // end of the lease, on the worker's clock
+	Fence      uint64 `json:"fence"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Ticket     string `json:"ticket,omitempty"` // of the queue's policy, if it has one
 }
 
 // HoldOrder renews a worker's lease, acknowledges ends and asks what the worker runs.
 type HoldOrder struct {
-	UntilMS int64 // end of the lease, on the worker's clock; 0 leaves it as it is
-	Fence   uint64
-	Ack     int64         // ends up to this number are committed
-	Wait    time.Duration // how long the answer may wait for an end
+	UntilMS int64         `json:"until_ms,omitempty"` // end of the lease, on the worker's clock; 0 leaves it as it is
+	Fence   uint64        `json:"fence"`
+	Ack     int64         `json:"ack,omitempty"`  // ends up to this number are committed
+	Wait    time.Duration `json:"wait,omitempty"` // how long the answer may wait for an end; nanoseconds in JSON
 }
 
 // RunningRow is one run on a worker.
 type RunningRow struct {
-	Run      RunID
-	Saved    string // checkpoint; empty if there is none
-	Progress int    // percent
-	Figure   int64  // response time tail in ms of a task with a target, else thousandths of a core in use
+	Run      RunID  `json:"run"`
+	Saved    string `json:"saved,omitempty"`    // checkpoint; empty if there is none
+	Progress int    `json:"progress,omitempty"` // percent
+	Figure   int64  `json:"figure,omitempty"`   // response time tail in ms of a task with a target, else thousandths of a core in use
 }
 
 // EndHow says how a run ended.
@@ -77,19 +77,19 @@
 
 // EndRow is one end that a worker lists until it is acknowledged.
 type EndRow struct {
-	Number int64 // grows by one within a life of the worker
-	Run    RunID
-	How    EndHow
-	Saved  string
+	Number int64  `json:"number"` // grows by one within a life of the worker
+	Run    RunID  `json:"run"`
+	How    EndHow `json:"how"`
+	Saved  string `json:"saved,omitempty"`
 }
 
 // HoldAnswer is what a worker says it runs and what has ended.
 type HoldAnswer struct {
-	ClockMS  int64 // the worker's steady clock
-	Born     int64
-	Running  []RunningRow
-	Finished []EndRow
-	Partial  bool // more ends follow once these are acknowledged
+	ClockMS  int64        `json:"clock_ms"` // the worker's steady clock
+	Born     int64        `json:"born"`
+	Running  []RunningRow `json:"running,omitempty"`
+	Finished []EndRow     `json:"finished,omitempty"`
+	Partial  bool         `json:"partial,omitempty"` // more ends follow once these are acknowledged
 }
 
 // OrderRefusal is a worker's reason for not carrying out an order.
@@ -109,8 +109,8 @@
 
 // RefusedError is returned when a worker certainly did not carry out an order.
 type RefusedError struct {
-	Reason  OrderRefusal
-	ClockMS int64 // 0 if the answer has none
+	Reason  OrderRefusal `json:"reason"`
+	ClockMS int64        `json:"clock_ms,omitempty"` // 0 if the answer has none
 }
 
 // Error returns the reason.
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -64,6 +64,7 @@
 	operations operation.Table
 	replica    *replica // nil on an entry
 	finals     finals
+	window     *window // of callers' calls to the leader
 	syncing    sync.Mutex
 
 	mu      sync.Mutex
@@ -73,7 +74,7 @@
 // New starts a VM and returns a function that stops it.
 func New(options Options) (*VM, func(), error) {
 	clock := bootclock.New()
-	v := &VM{options: options, clock: clock, book: rulebook.New(clock), finals: newFinals(finalsMost)}
+	v := &VM{options: options, clock: clock, book: rulebook.New(clock), finals: newFinals(finalsMost), window: newWindow(clock)}
 	transport, closeTransport := peer.NewTransport(options.Address, addressOf, nil, peer.NewTraffic(options.Metrics))
 	v.transport = transport
 	v.operations = operation.Table{opAdvise: operation.Typed(v.runAdvise)}
@@ -175,6 +176,11 @@
 	return err
 }
 
+// callInTurn runs an operation of a caller on the leader when there is room for it.
+func (v *VM) callInTurn(ctx context.Context, name string, argument, result any) error {
+	return v.window.do(ctx, func() error { return v.call(ctx, name, argument, result) })
+}
+
 // syncRules keeps the rules on this VM as new as the leader's.
 func (v *VM) syncRules(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -307,16 +307,28 @@
 	for name, trouble := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, 120)
+			warm := 0
+			s.until("the replicas relay", func(context.Context) bool {
+				warm++
+				id := fmt.Sprintf("warm-%d", warm)
+				s.submit(id, pj.Step{Tasks: 1, Task: pj.NewResources(2, 1, 0, 0)})
+				s.complete(id)
+				return s.relayed() > 0
+			})
+			leader := s.leader()
+			before := s.vms[leader].calls.starts.Load()
 			s.submit("first", pj.Step{Tasks: 90, Task: pj.NewResources(2, 1, 0, 0)})
 			s.complete("first")
-			s.is.True(s.relayed() > 0) // by replicas that don't lead
+			if s.leader() == leader {
+				s.is.Equal(s.vms[leader].calls.starts.Load(), before) // also those in the leader's own zone
+			}
 			s.submit("a", diamond()...)
 			trouble(s)
 			s.submit("b", diamond()...)
 			s.complete("a")
 			s.complete("b")
 			s.is.Equal(s.fleet.Breaches(), nil)
-			s.is.Equal(s.fleet.Done(), 110)
+			s.is.Equal(s.fleet.Done(), warm+110)
 		})
 	}
 }
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	started := v.clock.Now()
-	err := v.call(ctx, opSubmit, w, nil)
+	err := v.callInTurn(ctx, opSubmit, w, nil)
 	v.log("submit", "workflow", w.ID, "queue", w.Queue, "workspace", w.Workspace, "took", v.clock.Now()-started,
 		"leader", v.finder.Leader(Group), "rules_version", v.book.Rules().Version, "err", err)
 	return err
@@ -107,7 +107,7 @@
 		return state, nil
 	}
 	var state pj.WorkflowState
-	if err := v.call(ctx, opState, workflowQuery{ID: id, Workspace: workspace}, &state); err != nil {
+	if err := v.callInTurn(ctx, opState, workflowQuery{ID: id, Workspace: workspace}, &state); err != nil {
 		var refused *pj.Error
 		if !errors.As(err, &refused) || refused.Code != pj.CodeUnknownJob {
 			v.log("state_unknown", "workflow", id, "err", err)
@@ -122,7 +122,7 @@
 
 // Cancel ends a workflow.
 func (v *VM) Cancel(ctx context.Context, id, workspace string) error {
-	err := v.call(ctx, opCancel, workflowQuery{ID: id, Workspace: workspace}, nil)
+	err := v.callInTurn(ctx, opCancel, workflowQuery{ID: id, Workspace: workspace}, nil)
 	v.log("cancel", "workflow", id, "workspace", workspace, "err", err)
 	return err
 }
@@ -130,7 +130,7 @@
 // Waiting returns how many workflows of a queue have not started.
 func (v *VM) Waiting(ctx context.Context, queue string) (int, error) {
 	var n int
-	err := v.call(ctx, opWaiting, queue, &n)
+	err := v.callInTurn(ctx, opWaiting, queue, &n)
 	return n, err
 }
 
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -27,8 +27,12 @@
 // leading runs work on the control goroutine if this VM leads.
 func leading[R any](ctx context.Context, r *replica, work func(reply func(R, error))) (R, error) {
 	return operation.Await(ctx, r.loop, func(reply func(R, error)) {
+		var none R
+		if ctx.Err() != nil {
+			reply(none, ctx.Err()) // nobody waits for the answer any more, and the caller tries again
+			return
+		}
 		if r.controller == nil || !r.group.Serving() {
-			var none R
 			reply(none, r.notLeader())
 			return
 		}
--- a/internal/server/cluster/relay.go
+++ b/internal/server/cluster/relay.go
@@ -87,8 +87,6 @@
 func (l *relays) choose(now time.Duration, workers int) {
 	ways := make(map[string]*relayLink)
 	if workers >= relayFrom {
-		self := l.replica.vm.options
-		l.replica.peers[self.Address] = peerInfo{zone: self.Zone, region: self.Region, replica: true, heard: now}
 		used := make(map[string]int)
 		for _, zone := range l.replica.zones() {
 			if vm := l.replica.relayOf(now, zone, used); vm != "" {
@@ -98,8 +96,8 @@
 		}
 	}
 	for zone, link := range ways {
-		if l.ways[zone] != link {
-			l.replica.vm.log("relay_chosen", "zone", zone, "vm", link.vm, "workers", workers)
+		if before := l.ways[zone]; before != link {
+			l.replica.vm.log("relay_chosen", "zone", zone, "vm", link.vm, "workers", workers, "instead", before != nil)
 		}
 	}
 	l.ways = ways
