--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,7 +58,9 @@
 	}
 	faults.Wait()
 	l.finish(ctx, patience, out)
-	return append(l.breaches, fleet.Breaches()...), nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Concat(l.breaches, fleet.Breaches()), nil
 }
 
 // graceMost is how long a VM has to end after SIGTERM; its settings say 3 s.
