--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -56,6 +56,17 @@
 	return pj.PeerMessage{}
 }
 
+// newLeader returns a leader of three members whose own first entry is committed, the time then and its round.
+func newLeader(t *testing.T) (c *quorum.Core, now time.Duration, round uint64) {
+	t.Helper()
+	c = newCore(0, self, other, third)
+	now = elect(c)
+	round = lastAppend(t, work(c, now).Early).Round
+	ack(c, now, 2, round)
+	work(c, now)
+	return c, now, round
+}
+
 // TestRules holds the rules that random schedules rarely put to the test.
 func TestRules(t *testing.T) {
 	tests := map[string]func(t *testing.T, is *is.I){
@@ -158,11 +169,7 @@
 			is.NoErr(c.AddLearner(now, "vm-3/a"))
 		},
 		"a read without a lease waits for a round that began after it": func(t *testing.T, is *is.I) {
-			c := newCore(0, self, other, third)
-			now := elect(c)
-			old := lastAppend(t, work(c, now).Early).Round
-			ack(c, now, 2, old)
-			work(c, now)
+			c, now, old := newLeader(t)
 			work(c, now)
 			now += timeout
 			is.NoErr(c.Read(now, 7))
@@ -174,11 +181,7 @@
 			is.Equal(work(c, now).Reads, []uint64{7})
 		},
 		"a read waits until the state holds what is committed": func(t *testing.T, is *is.I) {
-			c := newCore(0, self, other, third)
-			now := elect(c)
-			round := lastAppend(t, work(c, now).Early).Round
-			ack(c, now, 2, round)
-			work(c, now)
+			c, now, round := newLeader(t)
 			work(c, now)
 			for range 2 {
 				_, _, err := c.Propose(make([]byte, quorum.DefaultMaxBatchBytes*3/4))
@@ -217,11 +220,7 @@
 			is.Equal(c.Lead().IsLeader, false)
 		},
 		"entries gather while a member has others to acknowledge": func(t *testing.T, is *is.I) {
-			c := newCore(0, self, other, third)
-			now := elect(c)
-			round := lastAppend(t, work(c, now).Early).Round
-			ack(c, now, 2, round)
-			work(c, now)
+			c, now, round := newLeader(t)
 			sent, entries := 0, 0
 			for range 40 { // one command each millisecond
 				now += time.Millisecond
--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -220,7 +220,7 @@
 		if u.asked[w.ID] || !u.suits(w, avoided) {
 			continue
 		}
-		choices = append(choices, choice{id: w.ID, room: times(p.free(w), u.amount)})
+		choices = append(choices, choice{id: w.ID, room: u.amount.CountIn(p.free(w))})
 	}
 	slices.SortFunc(choices, func(a, b choice) int { return b.room - a.room })
 	share := p.c.share(u.record.Workflow.Queue)
--- /dev/null
+++ b/internal/control/runs/advice_test.go
@@ -0,0 +1,121 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	pj "papayajunction"
+)
+
+// TestAdvice covers queues whose policy allows only some workers.
+func TestAdvice(t *testing.T) {
+	policy := &pj.AdvicePolicy{DecisionMS: 10, PerWorkerMS: 1, ValidityMS: 2000}
+	advised := pj.Workflow{
+		ID: "a", Queue: "q", Workspace: "team", Pool: "pool", MaxAttempts: 1, Advice: policy,
+		Steps: []pj.Step{{Tasks: 1, Task: pj.NewResources(4, 1, 0, 0)}},
+	}
+	good := func(workers ...string) pj.Advice {
+		var a pj.Advice
+		for _, w := range workers {
+			a.Good = append(a.Good, pj.Ticket{Worker: w, Ticket: "t-" + w})
+		}
+		return a
+	}
+	tests := map[string]func(x *cell, question *order){
+		"a task starts on an allowed worker, with its ticket": func(x *cell, question *order) {
+			question.advise(good("w1"), nil)
+			x.c.Flush()
+			starts := x.orders.take("start")
+			x.is.Equal(len(starts), 1)
+			x.is.Equal(starts[0].worker, "w1")
+			x.is.Equal(starts[0].start.Ticket, "t-w1")
+		},
+		"a ticket that is too old is asked for again": func(x *cell, question *order) {
+			x.submit("full", pj.Step{Tasks: 2, Task: pj.NewResources(8, 1, 0, 0)})
+			full := x.orders.take("start")
+			x.is.Equal(len(full), 2)
+			question.advise(good("w0"), nil)
+			for range 30 {
+				x.pass(100 * time.Millisecond)
+				x.lookRunning(full)
+			}
+			x.is.Equal(len(x.orders.take("start")), 0)
+			x.lookAll(map[string]pj.HoldAnswer{
+				"w0": {Finished: []pj.EndRow{{Number: 1, Run: onWorker(full, "w0").run, How: pj.EndDone}}},
+				"w1": {Running: []pj.RunningRow{{Run: onWorker(full, "w1").run}}},
+			})
+			x.is.Equal(len(x.orders.take("start")), 0)
+			again := x.orders.take("advise")
+			x.is.Equal(len(again), 1)
+			x.is.Equal(again[0].names, []string{"w0"}) // what the policy allows doesn't change
+		},
+		"a question without an answer is asked again later": func(x *cell, question *order) {
+			question.advise(pj.Advice{}, errUnanswered)
+			x.c.Flush()
+			x.is.Equal(len(x.orders.take("advise")), 0)
+			x.pass(1200 * time.Millisecond)
+			x.is.Equal(len(x.orders.take("advise")), 1)
+		},
+		"a refused ticket is dropped": func(x *cell, question *order) {
+			question.advise(good("w1"), nil)
+			x.c.Flush()
+			x.orders.take("start")[0].answer(&pj.RefusedError{Reason: pj.RefusedTicket})
+			x.flush()
+			x.is.Equal(len(x.orders.take("start")), 0)
+			x.is.Equal(len(x.orders.take("advise")), 1)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 2)
+			x.c.SetAskers([]string{"vm"})
+			x.submitAll(advised)
+			questions := x.orders.take("advise")
+			x.is.Equal(len(questions), 1)
+			x.is.Equal(len(x.orders.take("start")), 0) // nothing starts without a ticket
+			test(x, questions[0])
+		})
+	}
+}
+
+func onWorker(list []*order, worker string) *order {
+	for _, o := range list {
+		if o.worker == worker {
+			return o
+		}
+	}
+	return nil
+}
+
+// TestGangTakesFreshTickets: a gang starts where its tickets are valid now, though another place would be tighter.
+func TestGangTakesFreshTickets(t *testing.T) {
+	x := newCell(t, 3)
+	x.c.SetAskers([]string{"vm"})
+	x.submit("filler", pj.Step{Tasks: 1, Task: pj.NewResources(1, 1, 0, 0), EstimateMS: 60000}) // makes w0 the tightest
+	filler := x.orders.take("start")
+	filler[0].answer(nil)
+	x.submitAll(pj.Workflow{
+		ID: "gang", Queue: "q", Workspace: "team", Pool: "pool", MaxAttempts: 2, Advice: &pj.AdvicePolicy{DecisionMS: 10, ValidityMS: 5000},
+		Steps: []pj.Step{{Tasks: 2, Gang: true, Task: pj.NewResources(7, 8, 0, 0)}},
+	})
+	x.orders.take("advise")[0].advise(pj.Advice{Good: []pj.Ticket{{Worker: "w0"}, {Worker: "w1"}, {Worker: "w2"}}}, nil)
+	x.flush()
+	var other *order
+	for _, o := range x.orders.take("start") {
+		if o.worker == "w0" {
+			o.answer(&pj.RefusedError{Reason: pj.RefusedTicket}) // so this ticket has to be renewed
+			continue
+		}
+		o.answer(nil)
+		other = o
+	}
+	x.flush()
+	x.orders.take("stop")[0].answer(nil)
+	for range 2 {
+		x.pass(50 * time.Millisecond)
+		rows := map[string]pj.HoldAnswer{"w0": {Running: []pj.RunningRow{{Run: filler[0].run}}}}
+		rows[other.worker] = pj.HoldAnswer{Finished: []pj.EndRow{{Number: 1, Run: other.run, How: pj.EndStopped}}}
+		x.lookAll(rows)
+	}
+	x.is.Equal(len(x.orders.take("start")), 2) // on w1 and w2, without an answer to a further question
+}
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -261,3 +261,7 @@
 func runID(id string, index, run int) pj.RunID {
 	return pj.RunID{Task: pj.TaskID{StepID: pj.StepID{Workflow: id}, Index: index}, Run: run}
 }
+
+func oneTask() pj.Step {
+	return pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), EstimateMS: 1000}
+}
--- a/internal/control/runs/gang.go
+++ b/internal/control/runs/gang.go
@@ -119,7 +119,7 @@
 func (p *plan) couldFit(u *unit, n int) bool {
 	room := 0
 	for w := range p.places(u) {
-		each := times(w.Capacity, u.amount)
+		each := u.amount.CountIn(w.Capacity)
 		if u.spec.AntiAffinity > 0 {
 			each = min(each, u.spec.AntiAffinity)
 		}
--- a/internal/control/runs/plan.go
+++ b/internal/control/runs/plan.go
@@ -132,7 +132,7 @@
 
 // room returns how many tasks of a unit could start on a worker now.
 func (p *plan) room(w *worker, u *unit) int {
-	room := times(p.free(w), u.amount)
+	room := u.amount.CountIn(p.free(w))
 	if u.spec.AntiAffinity > 0 {
 		room = min(room, u.spec.AntiAffinity-u.onWorker[w.ID])
 	}
@@ -151,14 +151,3 @@
 	}
 	return score
 }
-
-// times returns how many of amount fit into room.
-func times(room, amount pj.Resources) int {
-	n := int64(1 << 30)
-	for d := range amount {
-		if amount[d] > 0 {
-			n = min(n, max(room[d], 0)/amount[d])
-		}
-	}
-	return int(n)
-}
--- a/internal/control/scheduler/fit.go
+++ b/internal/control/scheduler/fit.go
@@ -26,23 +26,12 @@
 	room, known := 0, false
 	s.index.Each(func(name, _ string, _ bool) bool {
 		known = known || !s.index.Capacity(name).IsZero()
-		room += times(s.index.Capacity(name), job.Task)
+		room += job.Task.CountIn(s.index.Capacity(name))
 		return room < job.Tasks
 	})
 	return !known || room >= job.Tasks
 }
 
-// times returns how many of amount fit into room.
-func times(room, amount pj.Resources) int {
-	n := int64(1 << 30)
-	for d := range amount {
-		if amount[d] > 0 {
-			n = min(n, max(room[d], 0)/amount[d])
-		}
-	}
-	return int(n)
-}
-
 // Reason says in plain words why a job's pending tasks wait.
 func (s *Scheduler) Reason(job string) string {
 	e := s.entries[job]
--- a/internal/control/scheduler/gang.go
+++ b/internal/control/scheduler/gang.go
@@ -32,7 +32,7 @@
 		room := 0
 		for _, w := range workers {
 			if s.index.Usable(w) {
-				room += times(s.index.Free(w), shape.Amount)
+				room += shape.Amount.CountIn(s.index.Free(w))
 			}
 		}
 		if room >= len(e.pending) && (best == "" || room < bestRoom) {
--- a/internal/control/scheduler/reserve.go
+++ b/internal/control/scheduler/reserve.go
@@ -139,8 +139,8 @@
 			continue
 		}
 		room[w] = s.index.Free(w)
-		count += times(room[w], e.amount)
-		possible += times(s.index.Capacity(w), e.amount)
+		count += e.amount.CountIn(room[w])
+		possible += e.amount.CountIn(s.index.Capacity(w))
 		for _, r := range s.onWorker[w] {
 			later = append(later, freeing{at: s.expectedEnd(now, r), worker: w, amount: r.reservation, key: r.key})
 		}
@@ -154,9 +154,9 @@
 	due := now
 	for i := 0; count < tasks && i < len(later); i++ {
 		f := later[i]
-		before := times(room[f.worker], e.amount)
+		before := e.amount.CountIn(room[f.worker])
 		room[f.worker] = room[f.worker].Add(f.amount)
-		count += times(room[f.worker], e.amount) - before
+		count += e.amount.CountIn(room[f.worker]) - before
 		due = f.at
 	}
 	if count < tasks {
@@ -168,7 +168,7 @@
 func holdsFor(room map[string]pj.Resources, amount pj.Resources, tasks int) map[string]pj.Resources {
 	holds := make(map[string]pj.Resources)
 	for _, w := range slices.Sorted(maps.Keys(room)) {
-		if n := min(times(room[w], amount), tasks); n > 0 {
+		if n := min(amount.CountIn(room[w]), tasks); n > 0 {
 			holds[w] = amount.Times(int64(n))
 			tasks -= n
 		}
--- a/resources.go
+++ b/resources.go
@@ -101,6 +101,17 @@
 	return true
 }
 
+// CountIn returns how many times r fits into room, a large number if r is nothing.
+func (r Resources) CountIn(room Resources) int {
+	n := int64(1 << 30)
+	for d := range r {
+		if r[d] > 0 {
+			n = min(n, max(room[d], 0)/r[d])
+		}
+	}
+	return int(n)
+}
+
 // IsZero reports whether r is nothing.
 func (r Resources) IsZero() bool {
 	return r == Resources{}
