--- a/called.go
+++ b/called.go
@@ -48,8 +48,8 @@
 type HoldOrder struct {
 	UntilMS int64         `json:"until_ms,omitempty"` // end of the lease, on the worker's clock; 0 leaves it as it is
 	Fence   uint64        `json:"fence"`
-	Ack     int64         `json:"ack,omitempty"`  // ends up to this number are committed
-	Wait    time.Duration `json:"wait,omitempty"` // how long the answer may wait for an end; nanoseconds in JSON
+	Ack     int64         `json:"ack,omitempty"`     // ends up to this number are committed
+	Wait    time.Duration `json:"wait_ns,omitempty"` // how long the answer may wait for an end
 }
 
 // RunningRow is one run on a worker.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,7 +45,7 @@
 	calmAfter   = 6 * time.Second        // after the last one; traffic ends with the faults
 	longestStop = 3 * time.Second        // of one fault
 	shortest    = 300 * time.Millisecond // of one fault
-	catchUp     = 5 * time.Second        // after which a replica that was lost counts as sound again
+	catchUp     = 5 * time.Second        // after which a replica that was lost counts as sound again; of it, a restart uses the time that the VM has to end
 	entryGap    = 700 * time.Millisecond // mean time between two faults that may overlap
 )
 
