--- a/cmd/papayasoak/main.go
+++ b/cmd/papayasoak/main.go
@@ -13,13 +13,15 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"papayajunction/internal/soak"
+	"papayajunction/platform"
 )
 
 const (
 	exitBroken   = 1 // a promise was broken
 	exitFailed   = 2
 	defaultSpan  = 30 * time.Second
-	settingsVerb = "settings" // writes the VMs' settings; the other verb is run
+	callTimeout  = 3 * time.Second // of one call of callers, operators and workers
+	settingsVerb = "settings"      // writes the VMs' settings; the other verb is run
 )
 
 func main() {
@@ -48,7 +50,10 @@
 		}
 		return failed(out, err)
 	}
-	breaches, err := soak.Run(context.Background(), *seed, *span, *patience, orders, out)
+	caller, closeCaller := platform.NewCaller(callTimeout)
+	defer closeCaller()
+	options := soak.Options{Seed: *seed, Span: *span, Patience: *patience, System: caller, Worker: platform.NewWorker}
+	breaches, err := soak.Run(context.Background(), options, orders, out)
 	for _, b := range breaches {
 		_, _ = fmt.Fprintln(out, "BROKEN", b)
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -1,13 +1,9 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -21,11 +17,11 @@
 	cancelOneIn    = 12
 	configEvery    = 3 * time.Second
 	announceEvery  = 700 * time.Millisecond
-	callTimeout    = 3 * time.Second
+	callTimeout    = 3 * time.Second // of the rules
 	tryAgainAfter  = 300 * time.Millisecond
 	triesMost      = 20
-	workerCores    = 8
 	firstStepTasks = 3
+	key            = "key-1"
 )
 
 // job is one piece of work as its caller knows it.
@@ -33,12 +29,12 @@
 	accepted  bool
 	rejected  bool // all answers said that it never runs
 	cancelled bool
-	state     string
+	state     pj.WorkflowState
 }
 
 // load hands in work and remembers what was promised.
 type load struct {
-	client *http.Client
+	system System
 	fleet  *called.Fleet
 
 	mu       sync.Mutex
@@ -49,9 +45,9 @@
 	breaches []string
 }
 
-func newLoad(seed uint64) *load {
+func newLoad(seed uint64, system System, fleet *called.Fleet) *load {
 	return &load{
-		client: &http.Client{Timeout: callTimeout}, rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // not for secrets
+		system: system, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // not for secrets
 		jobs: make(map[string]*job), ran: make(map[string]bool),
 	}
 }
@@ -88,37 +84,6 @@
 	return clock, nil
 }
 
-// call sends a request to one VM and returns the status, 0 if there was no answer.
-func (l *load) call(ctx context.Context, method, address, path string, body any) (int, []byte) {
-	var reader io.Reader
-	if body != nil {
-		data, err := json.Marshal(body)
-		if err != nil {
-			l.breach("the body of %s can't be written: %v", path, err)
-			return 0, nil
-		}
-		reader = bytes.NewReader(data)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
-	if err != nil {
-		l.breach("the call of %s can't be made: %v", path, err)
-		return 0, nil
-	}
-	request.Host = "jobs.example"
-	request.Header.Set("Authorization", "Token key-1")
-	request.Header.Set("Content-Type", "application/json")
-	response, err := l.client.Do(request)
-	if err != nil {
-		return 0, nil // faults are the point of the run
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return response.StatusCode, answer
-}
-
 // pick returns a random VM's address at a port.
 func (l *load) pick(role string, port int) string {
 	var list []vm
@@ -132,42 +97,56 @@
 	return list[l.rand.IntN(len(list))].at(port)
 }
 
+// work returns the route of the load's only queue, and a workflow of two steps for it.
+func work(id string) (*pj.Route, *pj.Workflow) {
+	task := pj.NewResources(2, 0.5, 0, 0)
+	route := &pj.Route{Name: "work", Host: "jobs.example", PathPrefix: "/work/", Pool: pool, MaxAttempts: 3, Stretch: 2, TimeoutMS: callTimeout.Milliseconds()}
+	return route, &pj.Workflow{ID: id, Spec: id, Steps: []pj.Step{
+		{Tasks: firstStepTasks, Task: task, EstimateMS: taskTime.Milliseconds()},
+		{Tasks: 2, Task: task, EstimateMS: taskTime.Milliseconds(), Gang: true, DependsOn: []int{0}},
+	}}
+}
+
+// rules returns a version of the rules; versions differ in their time limit.
+func rules(version int64) *pj.Ruleset {
+	route, _ := work("")
+	route.TimeoutMS += version
+	return &pj.Ruleset{
+		Version: version, Routes: []pj.Route{*route}, Pools: []string{pool},
+		Teams: []pj.Team{{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: pj.NewResources(1000, 10000, 0, 0)}, Keys: []string{key}}},
+	}
+}
+
 // submit hands in one job until it is accepted or every answer has refused it.
 func (l *load) submit(ctx context.Context, id string, cancel bool) {
-	task := map[string]any{"cpu": 2000, "mem_mb": 512, "estimate_ms": taskTime.Milliseconds()}
-	step := func(count int, more map[string]any) map[string]any {
-		s := map[string]any{"count": count}
-		for _, fields := range []map[string]any{task, more} {
-			for k, v := range fields {
-				s[k] = v
-			}
-		}
-		return s
-	}
-	body := map[string]any{"spec": id, "steps": []any{step(firstStepTasks, nil), step(2, map[string]any{"gang": true, "depends_on": []int{0}})}}
+	route, w := work(id)
 	j := &job{rejected: true}
 	l.mu.Lock()
 	l.jobs[id] = j
 	l.mu.Unlock()
+	accepted := false
 	for range triesMost {
-		status, _ := l.call(ctx, http.MethodPost, l.pick("entry", frontPort), "/work/"+id, body)
+		err := l.system.Submit(ctx, l.pick(entryRole, frontPort), route, key, w)
+		accepted = err == nil
 		l.mu.Lock()
-		j.accepted = status == http.StatusOK
-		j.rejected = j.rejected && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		j.accepted = accepted
+		j.rejected = j.rejected && err != nil && pj.AsError(err).NotRun
 		l.mu.Unlock()
-		if j.accepted || ctx.Err() != nil {
+		if accepted {
 			break
 		}
 		time.Sleep(tryAgainAfter)
 	}
-	if j.accepted && cancel {
-		status, _ := l.call(ctx, http.MethodDelete, l.pick("entry", frontPort), "/work/"+id, nil)
-		l.mu.Lock()
-		j.cancelled = status != http.StatusGone // without an answer it may be
-		l.mu.Unlock()
-		if status == http.StatusGone {
-			l.breach("job %s was accepted, and its cancelling was told that there is none", id)
-		}
+	if !accepted || !cancel {
+		return
+	}
+	err := l.system.Cancel(ctx, l.pick(entryRole, frontPort), route, key, id)
+	unknown := err != nil && pj.AsError(err).Code == pj.CodeUnknownJob
+	l.mu.Lock()
+	j.cancelled = !unknown // without an answer it may be
+	l.mu.Unlock()
+	if unknown {
+		l.breach("job %s was accepted, and its cancelling was told that there is none", id)
 	}
 }
 
@@ -183,53 +162,48 @@
 		}
 		l.mu.Lock()
 		cancel := l.rand.IntN(cancelOneIn) == 0
-		earlier := fmt.Sprintf("%016x", 1+l.rand.IntN(n))
+		earlier := jobID(1 + l.rand.IntN(n))
 		l.mu.Unlock()
-		go l.submit(context.WithoutCancel(ctx), fmt.Sprintf("%016x", n), cancel)
+		go l.submit(context.WithoutCancel(ctx), jobID(n), cancel)
 		go l.ask(context.WithoutCancel(ctx), earlier)
 	}
 }
 
+func jobID(n int) string {
+	return fmt.Sprintf("%016x", n)
+}
+
 // ask asks for the state of a job: one that was accepted before must be known, and a final state never changes.
-func (l *load) ask(ctx context.Context, id string) string {
+func (l *load) ask(ctx context.Context, id string) pj.WorkflowState {
 	l.mu.Lock()
 	j := l.jobs[id]
+	accepted := j != nil && j.accepted
 	l.mu.Unlock()
 	if j == nil {
 		return ""
 	}
-	l.mu.Lock()
-	accepted := j.accepted
-	l.mu.Unlock()
-	status, body := l.call(ctx, http.MethodGet, l.pick("entry", frontPort), "/work/"+id, nil)
-	if status == http.StatusGone && accepted {
-		l.breach("job %s was accepted and isn't known any more", id)
-	}
-	var answer struct{ State string }
-	if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
-		return ""
+	route, _ := work(id)
+	state, err := l.system.State(ctx, l.pick(entryRole, frontPort), route, key, id)
+	if err != nil {
+		if accepted && pj.AsError(err).Code == pj.CodeUnknownJob {
+			l.breach("job %s was accepted and isn't known any more", id)
+		}
+		return "" // faults are the point of the run
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	final := j.state == string(pj.WorkflowComplete) || j.state == string(pj.WorkflowCancelled)
-	if final && answer.State != j.state {
-		l.breaches = append(l.breaches, fmt.Sprintf("job %s was %s and is %s", id, j.state, answer.State))
+	if j.state.Final() && state != j.state {
+		l.breaches = append(l.breaches, fmt.Sprintf("job %s was %s and is %s", id, j.state, state))
 	}
-	j.state = answer.State
-	return j.state
+	j.state = state
+	return state
 }
 
 // configure publishes new versions and reads back what is in force until ctx ends.
 func (l *load) configure(ctx context.Context) {
 	for version := int64(1); ctx.Err() == nil; version++ {
-		config := map[string]any{
-			"version":  version,
-			"routes":   []any{map[string]any{"name": "work", "host": "jobs.example", "path_prefix": "/work/", "timeout_ms": 3000 + version, "service": "pool", "max_attempts": 3, "stretch": 2}},
-			"services": []any{map[string]any{"name": "pool"}},
-			"tenants":  []any{map[string]any{"name": "team", "api_keys": []string{"key-1"}, "weight": 1, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
-		}
 		for ctx.Err() == nil {
-			if status, _ := l.call(ctx, http.MethodPut, l.pick("replica", controlPort), "/config", config); status == http.StatusOK {
+			if err := l.system.Publish(ctx, l.pick(replicaRole, controlPort), rules(version)); err == nil {
 				l.mu.Lock()
 				l.version = version
 				l.mu.Unlock()
@@ -245,26 +219,22 @@
 	}
 }
 
-// readBack reads the configuration; an older version than an acknowledged one breaks a promise.
+// readBack reads the version in force; an older one than was acknowledged breaks a promise.
 func (l *load) readBack(ctx context.Context) {
 	l.mu.Lock()
 	acked := l.version
 	l.mu.Unlock()
-	status, body := l.call(ctx, http.MethodGet, l.pick("replica", controlPort), "/config", nil)
-	var read struct{ Version int64 }
-	if status == http.StatusOK && (json.Unmarshal(body, &read) != nil || read.Version < acked) {
-		l.breach("version %d was acknowledged, and version %d was read", acked, read.Version)
+	version, err := l.system.ReadVersion(ctx, l.pick(replicaRole, controlPort))
+	if err == nil && version < acked {
+		l.breach("version %d was acknowledged, and version %d was read", acked, version)
 	}
 }
 
-// announce sends a worker's heartbeats until ctx ends.
-func (l *load) announce(ctx context.Context, i int, born int64) {
-	for seq := 1; ctx.Err() == nil; seq++ {
-		beat := map[string]any{
-			"service": "pool", "address": fmt.Sprintf("%s:%d", workerIP, workerPort+i), "zone": zone(i), "state": "ready", "seq": seq, "born": born,
-			"capacity": map[string]any{"cpu": workerCores * 1000, "mem_mb": 16384, "gpu": 0}, "labels": []string{"a", "r1"},
-		}
-		l.call(ctx, http.MethodPut, l.pick("replica", controlPort), "/instances/"+workerName(i), beat)
+// announce sends a worker's heartbeats until ctx ends; those that are lost are followed by others.
+func (l *load) announce(ctx context.Context, w pj.CalledWorker) {
+	for ctx.Err() == nil {
+		w.Sequence++
+		_ = l.system.Announce(ctx, l.pick(replicaRole, controlPort), &w)
 		select {
 		case <-ctx.Done():
 		case <-time.After(announceEvery):
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,41 +13,48 @@
 	"papayajunction/internal/standin/called"
 )
 
-// Run disturbs the cell for a span by the plan of a seed. Instructions for the script go to orders, what happens to out.
-// Work that hasn't ended after the span is waited for, for the given patience or, if that is 0, without end.
+// Options configure a run.
+type Options struct {
+	Seed     uint64
+	Span     time.Duration
+	Patience time.Duration // how long work may take to end after the span; 0 waits without end
+	System   System
+	Worker   NewWorker
+}
+
+// Run disturbs the cell by the plan of a seed. Instructions for the script go to orders, what happens to out.
 // It returns what broke a promise.
-func Run(ctx context.Context, seed uint64, span, patience time.Duration, orders, out io.Writer) ([]string, error) {
+func Run(ctx context.Context, o Options, orders, out io.Writer) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l := newLoad(seed)
-	born := time.Now().UnixMilli()
-	fleet, err := startWorkers(ctx, func(f *called.Fleet) pj.WorkerLink { return &checkedLink{WorkerLink: f, load: l} })
-	if err != nil {
+	infos := workers()
+	fleet := called.New(infos, taskTime)
+	l := newLoad(o.Seed, o.System, fleet)
+	if err := serveWorkers(ctx, infos, &checkedLink{WorkerLink: fleet, load: l}, o.Worker); err != nil {
 		return nil, err
 	}
-	l.fleet = fleet
 	forwarders := make(map[string]*forwarder)
 	for _, v := range vms() {
-		if forwarders[v.name], err = newForwarder(ctx, v.at(peerPort), v.at(ownPeerPort)); err != nil {
+		f, err := newForwarder(ctx, v.at(peerPort), v.at(ownPeerPort))
+		if err != nil {
 			return nil, err
 		}
+		forwarders[v.name] = f
 	}
 	_, _ = fmt.Fprintln(orders, "start all")
-	for i := range workerCount {
-		go l.announce(ctx, i, born)
+	var names []string
+	for _, info := range infos {
+		names = append(names, info.ID)
+		go l.announce(ctx, info)
 	}
 	go l.configure(ctx)
-	traffic, endTraffic := context.WithTimeout(ctx, span-calmAfter)
+	traffic, endTraffic := context.WithTimeout(ctx, o.Span-calmAfter)
 	defer endTraffic()
 	go l.hand(traffic)
 
 	started := time.Now()
-	var workers []string
-	for i := range workerCount {
-		workers = append(workers, workerName(i))
-	}
 	var faults sync.WaitGroup
-	for _, f := range Plan(seed, span, names("replica"), names("entry"), workers) {
+	for _, f := range Plan(o.Seed, o.Span, vmNames(replicaRole), vmNames(entryRole), names) {
 		time.Sleep(time.Until(started.Add(f.At)))
 		_, _ = fmt.Fprintln(out, "fault", f)
 		faults.Add(1)
@@ -57,7 +64,7 @@
 		}()
 	}
 	faults.Wait()
-	l.finish(ctx, patience, out)
+	l.finish(ctx, o.Patience, out)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Concat(l.breaches, fleet.Breaches()), nil
@@ -122,7 +129,7 @@
 			cancelled++
 		case j.accepted:
 			accepted++
-			if j.state == string(pj.WorkflowCancelled) || j.state == string(pj.WorkflowFailed) {
+			if j.state == pj.WorkflowCancelled || j.state == pj.WorkflowFailed {
 				l.breaches = append(l.breaches, fmt.Sprintf("job %s is %s without cause", id, j.state))
 			}
 		case j.rejected && l.ran[id]:
@@ -141,10 +148,8 @@
 		l.mu.Lock()
 		j := *l.jobs[id]
 		l.mu.Unlock()
-		if j.accepted && j.state != string(pj.WorkflowComplete) && j.state != string(pj.WorkflowCancelled) && j.state != string(pj.WorkflowFailed) {
-			if state := pj.WorkflowState(l.ask(ctx, id)); !state.Final() {
-				open = append(open, id)
-			}
+		if j.accepted && !j.state.Final() && !l.ask(ctx, id).Final() {
+			open = append(open, id)
 		}
 	}
 	return open
