--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -19,6 +19,14 @@
 type Loop struct {
 	events chan func()
 	done   chan struct{}
+	usage  Usage // since the last TakeUsage; belongs to the control goroutine
+}
+
+// Usage says what the control goroutine did in some time.
+type Usage struct {
+	Busy    time.Duration // spent on events and flushes
+	Longest time.Duration // of one batch of events with its flush
+	Events  int
 }
 
 // New returns a loop that is not running yet.
@@ -61,6 +69,13 @@
 	time.AfterFunc(wait, func() { l.Post(event) })
 }
 
+// TakeUsage returns the usage since the last call. It must be called on the control goroutine.
+func (l *Loop) TakeUsage() Usage {
+	taken := l.usage
+	l.usage = Usage{}
+	return taken
+}
+
 // Run handles events until ctx ends: tick is called regularly, flush after every batch.
 func (l *Loop) Run(ctx context.Context, interval time.Duration, tick, flush func()) {
 	defer close(l.done)
@@ -71,21 +86,37 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			tick()
+			l.batch(tick, flush)
 		case event := <-l.events:
-			event()
-			l.drain()
+			l.batch(func() {
+				l.handle(event)
+				l.drain()
+			}, flush)
 		}
-		flush()
 	}
 }
 
+// batch runs work and the flush after it, and counts the time that they take.
+func (l *Loop) batch(work, flush func()) {
+	started := time.Now()
+	work()
+	flush()
+	took := time.Since(started)
+	l.usage.Busy += took
+	l.usage.Longest = max(l.usage.Longest, took)
+}
+
+func (l *Loop) handle(event func()) {
+	event()
+	l.usage.Events++
+}
+
 // drain handles the events that are queued already, so that their effects are flushed together.
 func (l *Loop) drain() {
 	for range batchMost {
 		select {
 		case event := <-l.events:
-			event()
+			l.handle(event)
 		default:
 			return
 		}
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -44,6 +44,7 @@
 	ledSince   time.Duration
 	workedAt   time.Duration
 	relays     *relays // nil unless this VM leads
+	load       *loadMeter
 
 	outbox *outbox // answers to the orders of leaders; safe for use by many goroutines
 }
@@ -64,6 +65,7 @@
 		return nil, nil, fmt.Errorf("read identity of data folder: %w", err)
 	}
 	writer, closeSaver := saver.New(store, r.loop, v.options.Metrics)
+	r.load = &loadMeter{replica: r, store: store, saver: writer}
 	r.host = control.New(control.Options{
 		VM: v.options.Address, Incarnation: r.id, Saver: writer, Transport: v.transport, Clock: v.clock,
 		Rand: newRand(), Heartbeat: heartbeat, Election: election,
@@ -101,6 +103,9 @@
 func (r *replica) tick() {
 	r.host.Tick()
 	now := r.vm.clock.Now()
+	if r.group != nil {
+		r.load.report(now)
+	}
 	if r.controller == nil || now < r.workedAt+workInterval {
 		return
 	}
--- a/internal/storage/boltlog/boltlog.go
+++ b/internal/storage/boltlog/boltlog.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,14 @@
 
 // Store is a pj.LogStore on one bbolt file.
 type Store struct {
-	db *bbolt.DB
+	db      *bbolt.DB
+	payload atomic.Int64 // bytes of values given to Put
+}
+
+// Written says how much was written to disk for what was stored.
+type Written struct {
+	Payload int64 // bytes of states, entries and snapshots
+	Pages   int64 // bytes of the pages that bbolt made for them
 }
 
 // New opens or creates the file in folder and returns a function that closes it.
@@ -158,11 +166,17 @@
 	})
 }
 
+// Written returns what was written since the file was opened.
+func (s *Store) Written() Written {
+	stats := s.db.Stats().TxStats
+	return Written{Payload: s.payload.Load(), Pages: stats.GetPageAlloc()}
+}
+
 // Save stores the writes of all groups in one synced step.
 func (s *Store) Save(writes []pj.LogWrite) error {
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		for _, w := range writes {
-			if err := saveGroup(tx, w); err != nil {
+			if err := s.saveGroup(tx, w); err != nil {
 				return fmt.Errorf("group %s: %w", w.Group, err)
 			}
 		}
@@ -174,13 +188,13 @@
 	return nil
 }
 
-func saveGroup(tx *bbolt.Tx, w pj.LogWrite) error {
+func (s *Store) saveGroup(tx *bbolt.Tx, w pj.LogWrite) error {
 	b, err := tx.CreateBucketIfNotExists([]byte(w.Group))
 	if err != nil {
 		return err
 	}
 	if w.State != nil {
-		if err := saveJSON(b, keyState, w.State); err != nil {
+		if err := s.saveJSON(b, keyState, w.State); err != nil {
 			return err
 		}
 	}
@@ -189,7 +203,7 @@
 		return err
 	}
 	if w.Snapshot != nil {
-		if err := saveJSON(b, keySnapshot, w.Snapshot); err != nil {
+		if err := s.saveJSON(b, keySnapshot, w.Snapshot); err != nil {
 			return err
 		}
 		last := w.KeepAfter
@@ -200,10 +214,10 @@
 			return err
 		}
 	}
-	return appendEntries(entries, w.Entries)
+	return s.appendEntries(entries, w.Entries)
 }
 
-func appendEntries(b *bbolt.Bucket, entries []pj.LogEntry) error {
+func (s *Store) appendEntries(b *bbolt.Bucket, entries []pj.LogEntry) error {
 	if len(entries) == 0 {
 		return nil
 	}
@@ -212,7 +226,7 @@
 	}
 	b.FillPercent = 0.9
 	for _, e := range entries {
-		if err := b.Put(indexKey(e.Index), encodeEntry(e)); err != nil {
+		if err := s.put(b, indexKey(e.Index), encodeEntry(e)); err != nil {
 			return err
 		}
 	}
@@ -230,12 +244,17 @@
 	return nil
 }
 
-func saveJSON(b *bbolt.Bucket, key []byte, value any) error {
+func (s *Store) put(b *bbolt.Bucket, key, value []byte) error {
+	s.payload.Add(int64(len(value)))
+	return b.Put(key, value)
+}
+
+func (s *Store) saveJSON(b *bbolt.Bucket, key []byte, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return fmt.Errorf("write %s: %w", key, err)
 	}
-	return b.Put(key, seal(data))
+	return s.put(b, key, seal(data))
 }
 
 func indexKey(index uint64) []byte {
--- a/internal/storage/saver/saver.go
+++ b/internal/storage/saver/saver.go
@@ -18,6 +18,15 @@
 	jobs   chan saveJob
 	syncs  *metrics.Counter
 	timing *metrics.Histogram
+
+	mu     sync.Mutex
+	totals Totals
+}
+
+// Totals sum up the writes so far.
+type Totals struct {
+	Writes int
+	Took   time.Duration
 }
 
 type saveJob struct {
@@ -60,10 +69,25 @@
 		err := s.store.Save(job.writes)
 		s.timing.UpdateDuration(started)
 		s.syncs.Inc()
+		s.count(time.Since(started))
 		s.loop.Post(func() { job.done(err) })
 	}
 }
 
+func (s *Saver) count(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.totals.Writes++
+	s.totals.Took += took
+}
+
+// Totals returns what was written so far.
+func (s *Saver) Totals() Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.totals
+}
+
 // Memory is a store that keeps nothing; a VM without a data folder starts anew each time.
 type Memory struct{}
 
