--- a/internal/storage/boltlog/boltlog_test.go
+++ b/internal/storage/boltlog/boltlog_test.go
@@ -122,3 +122,27 @@
 		is.NoErr(closeAgain())
 	}
 }
+
+// TestAppendDoesNotRewriteSnapshot guards against incident SHORT: each append wrote the last snapshot again, so commits became slower as the
+// state grew, until urgent work was late. What an append writes must not depend on the size of the snapshot.
+func TestAppendDoesNotRewriteSnapshot(t *testing.T) {
+	const appends = 50
+	pagesOf := func(t *testing.T, snapshotBytes int) int64 {
+		is := is.New(t)
+		store, closeStore, err := boltlog.New(t.TempDir())
+		is.NoErr(err)
+		defer func() { is.NoErr(closeStore()) }()
+		is.NoErr(store.Save([]pj.LogWrite{{Group: "g", Snapshot: &pj.LogSnapshot{Index: 1, Term: 1, Data: bytes.Repeat([]byte("s"), snapshotBytes)}}}))
+		before := store.Written().Pages
+		for i := range uint64(appends) {
+			is.NoErr(store.Save([]pj.LogWrite{{Group: "g", State: &pj.HardState{Term: 1, Commit: i + 1}, Entries: entries(1, i+2, i+2)}}))
+		}
+		return (store.Written().Pages - before) / appends
+	}
+	small := pagesOf(t, 100)
+	for name, size := range map[string]int{"64 KiB": 64 << 10, "1 MiB": 1 << 20, "8 MiB": 8 << 20} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(pagesOf(t, size) <= 2*small) // bytes of pages for each append
+		})
+	}
+}
