--- a/internal/storage/boltlog/boltlog.go
+++ b/internal/storage/boltlog/boltlog.go
@@ -1,11 +1,15 @@
 // Package boltlog keeps the logs of all replicated groups of a process in one bbolt file.
 //
+// A commit writes every page on its way from the root to what has changed. So a large value has a bucket of
+// its own, and nothing that changes with each commit stands beside it.
+//
 // Every value carries a checksum. bbolt commits a write whole or not at all, so a write that was
 // torn by a crash is dropped when the file is opened; a value whose checksum is wrong is an error
 // that the process must not continue with.
 package boltlog
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -35,11 +39,14 @@
 var ErrCorrupt = errors.New("stored bytes do not match their checksum")
 
 var (
-	bucketEntries = []byte("entries")
-	keyState      = []byte("state")
-	keySnapshot   = []byte("snapshot")
-	keyIdentity   = []byte("incarnation")
-	bucketMeta    = []byte("meta")
+	bucketMeta     = []byte("meta")
+	keyIdentity    = []byte("incarnation")
+	bucketEntries  = []byte("entries")
+	keyState       = []byte("state")
+	bucketSnapshot = []byte("snapshots")
+	keyPosition    = []byte("position") // of the snapshot, without its data
+	keyData        = []byte("data")
+	keyWhole       = []byte("snapshot") // position and data as JSON beside the state; older files have it
 )
 
 // Store is a pj.LogStore on one bbolt file.
@@ -124,11 +131,28 @@
 	if err := loadJSON(b, keyState, &r.State); err != nil {
 		return err
 	}
-	if b.Get(keySnapshot) == nil {
-		return nil
+	held := b.Bucket(bucketSnapshot)
+	switch {
+	case held != nil:
+		r.Snapshot = &pj.LogSnapshot{}
+		return loadSnapshot(held, r.Snapshot)
+	case b.Get(keyWhole) != nil:
+		r.Snapshot = &pj.LogSnapshot{}
+		return loadJSON(b, keyWhole, r.Snapshot)
 	}
-	r.Snapshot = &pj.LogSnapshot{}
-	return loadJSON(b, keySnapshot, r.Snapshot)
+	return nil
+}
+
+func loadSnapshot(b *bbolt.Bucket, s *pj.LogSnapshot) error {
+	if err := loadJSON(b, keyPosition, s); err != nil {
+		return err
+	}
+	data, err := unseal(b.Get(keyData))
+	if err != nil {
+		return fmt.Errorf("%s: %w", keyData, err)
+	}
+	s.Data = bytes.Clone(data) // bbolt's memory is valid only in the transaction
+	return nil
 }
 
 func loadJSON(b *bbolt.Bucket, key []byte, into any) error {
@@ -203,7 +227,7 @@
 		return err
 	}
 	if w.Snapshot != nil {
-		if err := s.saveJSON(b, keySnapshot, w.Snapshot); err != nil {
+		if err := s.saveSnapshot(b, *w.Snapshot); err != nil {
 			return err
 		}
 		last := w.KeepAfter
@@ -217,6 +241,21 @@
 	return s.appendEntries(entries, w.Entries)
 }
 
+func (s *Store) saveSnapshot(b *bbolt.Bucket, snapshot pj.LogSnapshot) error {
+	if err := b.Delete(keyWhole); err != nil {
+		return fmt.Errorf("drop snapshot of an older file: %w", err)
+	}
+	held, err := b.CreateBucketIfNotExists(bucketSnapshot)
+	if err != nil {
+		return fmt.Errorf("open snapshot bucket: %w", err)
+	}
+	if err := s.put(held, keyData, seal(snapshot.Data)); err != nil {
+		return err
+	}
+	snapshot.Data = nil
+	return s.saveJSON(held, keyPosition, snapshot)
+}
+
 func (s *Store) appendEntries(b *bbolt.Bucket, entries []pj.LogEntry) error {
 	if len(entries) == 0 {
 		return nil
--- a/internal/storage/boltlog/boltlog_test.go
+++ b/internal/storage/boltlog/boltlog_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+	"go.etcd.io/bbolt"
 
 	pj "papayajunction"
 	"papayajunction/internal/storage/boltlog"
@@ -60,6 +64,16 @@
 			damage:  flip([]byte(`"voters"`)),
 			corrupt: true,
 		},
+		"a changed byte in a snapshot's data is an error": {
+			writes:  []pj.LogWrite{{Group: "g", Snapshot: &pj.LogSnapshot{Index: 1, Term: 1, Data: []byte("marker-of-a-state")}}},
+			damage:  flip([]byte("marker-of-a-state")),
+			corrupt: true,
+		},
+		"a snapshot in an older file is read": {
+			writes: []pj.LogWrite{{Group: "g", Entries: entries(1, 2, 3)}},
+			damage: storeWhole("g", genesis),
+			want:   pj.Recovered{Snapshot: genesis, Entries: entries(1, 2, 3)},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -101,6 +115,42 @@
 	}
 }
 
+// storeWhole stores a snapshot as older versions did: one JSON value beside the state.
+func storeWhole(group string, snapshot *pj.LogSnapshot) func(string) error {
+	return func(file string) error {
+		data, err := json.Marshal(snapshot)
+		if err != nil {
+			return err
+		}
+		db, err := bbolt.Open(file, 0o600, nil)
+		if err != nil {
+			return err
+		}
+		return errors.Join(db.Update(func(tx *bbolt.Tx) error {
+			return tx.Bucket([]byte(group)).Put([]byte("snapshot"), append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(data)), data...))
+		}), db.Close())
+	}
+}
+
+// TestOlderSnapshotIsReplaced stores a snapshot in a file that holds one of an older version.
+func TestOlderSnapshotIsReplaced(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	s, closeStore, err := boltlog.New(folder)
+	is.NoErr(err)
+	is.NoErr(s.Save([]pj.LogWrite{{Group: "g", Entries: entries(1, 2, 3)}}))
+	is.NoErr(closeStore())
+	is.NoErr(storeWhole("g", &pj.LogSnapshot{Index: 1, Term: 1, Data: []byte("old")})(filepath.Join(folder, boltlog.FileName)))
+	s, closeStore, err = boltlog.New(folder)
+	is.NoErr(err)
+	defer func() { is.NoErr(closeStore()) }()
+	newer := &pj.LogSnapshot{Index: 2, Term: 1, Data: []byte("new")}
+	is.NoErr(s.Save([]pj.LogWrite{{Group: "g", Snapshot: newer, KeepAfter: 2}}))
+	got, err := s.Load("g")
+	is.NoErr(err)
+	is.Equal(got, pj.Recovered{Snapshot: newer, Entries: entries(1, 3, 3)})
+}
+
 // TestKilledWhileWriting copies the file as a kill -9 between two writes would leave it and checks
 // that what Save had confirmed is there.
 func TestKilledWhileWriting(t *testing.T) {
