--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -66,6 +67,7 @@
 	finals     finals
 	window     *window // of callers' calls to the leader
 	syncing    sync.Mutex
+	calls      atomic.Int64 // that other VMs have made here
 
 	mu      sync.Mutex
 	members []string // VMs of the group, as last heard
@@ -123,6 +125,8 @@
 
 // Run runs an operation that another VM asked for.
 func (v *VM) Run(ctx context.Context, name string, argument []byte) (any, error) {
+	v.options.Metrics.GetOrCreateCounter(fmt.Sprintf("papaya_calls_total{operation=%q}", name)).Inc()
+	v.calls.Add(1)
 	return v.operations.Run(ctx, name, argument)
 }
 
--- a/internal/server/cluster/load.go
+++ b/internal/server/cluster/load.go
@@ -23,6 +23,7 @@
 	saved   saver.Totals
 	written boltlog.Written
 	applied uint64
+	calls   int64
 }
 
 // report writes a line and counts in the metrics once the time has come.
@@ -34,10 +35,10 @@
 	m.at = now
 	usage := m.replica.loop.TakeUsage()
 	cpu, saved, written := processorTime(), m.saver.Totals(), m.store.Written()
-	applied := m.replica.group.Applied()
+	applied, calls := m.replica.group.Applied(), m.replica.vm.calls.Load()
 	keyvals := []any{
 		"span", passed, "cpu", cpu - m.cpu, "loop_busy", usage.Busy, "loop_longest", usage.Longest, "events", usage.Events,
-		"applied", applied - m.applied, "disk_writes", saved.Writes - m.saved.Writes, "disk_time", saved.Took - m.saved.Took,
+		"calls", calls - m.calls, "applied", applied - m.applied, "disk_writes", saved.Writes - m.saved.Writes, "disk_time", saved.Took - m.saved.Took,
 		"disk_payload_bytes", written.Payload - m.written.Payload, "disk_page_bytes", written.Pages - m.written.Pages,
 	}
 	set := m.replica.vm.options.Metrics
@@ -49,7 +50,7 @@
 		keyvals = append(keyvals, "leads", true, "waiting_steps", l.Steps, "waiting_tasks", l.Tasks, "oldest", l.Oldest, "asking", l.Asking,
 			"running", l.Running, "relayed_orders", len(m.replica.relays.waiting))
 	}
-	m.cpu, m.saved, m.written, m.applied = cpu, saved, written, applied
+	m.cpu, m.saved, m.written, m.applied, m.calls = cpu, saved, written, applied, calls
 	m.replica.vm.log("load", keyvals...)
 }
 
