Calls between VMs: answers below 16 KiB are not compressed

Cause: connect compresses every answer, however short, if the caller takes gzip, which connect's clients do. The class: a fixed cost for each of many small messages.

--- a/internal/server/peer/service.go
+++ b/internal/server/peer/service.go
@@ -18,6 +18,10 @@
 // maxMessageBytes bounds one message between VMs; snapshots are the largest.
 const maxMessageBytes = 64 << 20
 
+// compressFrom is the size in bytes from which on answers are compressed: preparing a compressor clears more memory than a
+// shorter answer has.
+const compressFrom = 16 << 10
+
 // Receiver handles what other VMs send.
 type Receiver interface {
 	Deliver(messages []pj.PeerMessage)
@@ -31,6 +35,7 @@
 	path, service := peerpbconnect.NewPeerServiceHandler(
 		&service{self: self, receiver: receiver},
 		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(compressFrom),
 	)
 	stopped, stop := context.WithCancel(context.Background())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
