Replicas answer polls and unchanged announcements for the leader of a large fleet

Ruled out: caching at entries; a state that isn't final changes, and each entry sees a workflow once in seconds.

Change: the leader tells each entry the replica of its availability zone, or region, with the answer about rules. That replica answers from its own state while it has heard the leader within a second and has applied what the leader had then. What it doesn't know is asked of the leader, so only the leader says that a workflow is unknown; final states are final on every replica. A replica acknowledges an announcement in which nothing has changed, and is the address for the next ones; a change, and everything of a draining worker, still goes to the leader.

--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -71,6 +71,8 @@
 
 	mu      sync.Mutex
 	members []string // VMs of the group, as last heard
+	near    string   // the replica that answers for the leader
+	applied uint64   // what the leader had applied when it was last asked
 }
 
 // New starts a VM and returns a function that stops it.
@@ -153,13 +155,14 @@
 	return known
 }
 
-func (v *VM) setMembers(members []string) {
-	if len(members) == 0 {
-		return
-	}
+// learn takes in what the leader said of the group.
+func (v *VM) learn(reply syncReply) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.members = members
+	v.near, v.applied = reply.Near, reply.Applied
+	if len(reply.Members) > 0 {
+		v.members = reply.Members
+	}
 }
 
 // call runs an operation on the leader, whichever VM that is.
@@ -220,7 +223,7 @@
 	if err := v.call(ctx, opSync, request, &reply); err != nil {
 		return err
 	}
-	v.setMembers(reply.Members)
+	v.learn(reply)
 	if v.book.Learn(asked, reply.Version, reply.Rules) {
 		v.log("rules_in_force", "version", reply.Version, "queues", len(reply.Rules.Routes), "workspaces", len(reply.Rules.Teams))
 	}
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -26,6 +26,7 @@
 	t     *testing.T
 	is    *is.I
 	fleet *called.Fleet
+	infos []pj.CalledWorker
 	vms   map[string]*member
 	seeds []string
 }
@@ -33,6 +34,7 @@
 type member struct {
 	vm    *cluster.VM
 	calls *countedLink
+	asked *metrics.Set
 	data  string
 	close func()
 }
@@ -58,6 +60,7 @@
 			ID: id, Born: 1, Sequence: 1, Pool: "pool", Address: id + ":1", Zone: zoneOf(i), Rack: "r1", Capacity: pj.NewResources(8, 64, 0, 0),
 		})
 	}
+	s.infos = infos
 	s.fleet = called.New(infos, 200*time.Millisecond)
 	port := freePort(t)
 	for i := 1; i <= 3; i++ {
@@ -112,10 +115,10 @@
 }
 
 func (s *system) startWith(address string, m *member, replica, bootstrap bool) {
-	m.calls = &countedLink{WorkerLink: s.fleet}
+	m.calls, m.asked = &countedLink{WorkerLink: s.fleet}, metrics.NewSet()
 	vm, closeVM, err := cluster.New(cluster.Options{
 		Address: address, Replica: replica, DataDir: m.data, Bootstrap: bootstrap, Seeds: func() []string { return s.seeds },
-		Zone: zoneOf(slices.Index(s.seeds, address)), Region: "region", Link: m.calls, Logger: kitlog.NewNopLogger(), Metrics: metrics.NewSet(),
+		Zone: zoneOf(slices.Index(s.seeds, address)), Region: "region", Link: m.calls, Logger: kitlog.NewNopLogger(), Metrics: m.asked,
 	})
 	s.is.NoErr(err)
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
@@ -332,3 +335,65 @@
 		})
 	}
 }
+
+// asked returns how often the leader was asked for an operation.
+func (s *system) asked(operation string) uint64 {
+	return s.vms[s.leader()].asked.GetOrCreateCounter(fmt.Sprintf("papaya_calls_total{operation=%q}", operation)).Get()
+}
+
+// TestReplicasAnswerForLeader guards against incident SHORT: in a large fleet the leader's processor went into polls and unchanged
+// announcements. Now replicas answer them.
+func TestReplicasAnswerForLeader(t *testing.T) {
+	const times = 40
+	s := newSystem(t, 120)
+	tooLarge := pj.NewResources(64, 1, 0, 0)
+	s.submit("a", pj.Step{Tasks: 1, Task: tooLarge}) // it waits for as long as the test runs
+	poll := func(ctx context.Context) {
+		state, err := s.entry().State(ctx, "a", "team")
+		s.is.NoErr(err)
+		s.is.Equal(state, pj.WorkflowQueued)
+	}
+	s.until("a replica answers polls", func(ctx context.Context) bool {
+		before := s.asked("state")
+		poll(ctx)
+		return s.asked("state") == before
+	})
+	tests := map[string]struct {
+		operation string
+		call      func(ctx context.Context)
+	}{
+		"polls": {operation: "state", call: poll},
+		"announcements": {operation: "announce", call: func(ctx context.Context) {
+			for _, address := range s.seeds {
+				s.infos[0].Sequence++
+				_, err := s.vms[address].vm.Announce(ctx, s.infos[0])
+				s.is.NoErr(err)
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			before := s.asked(test.operation)
+			for range times {
+				test.call(t.Context())
+			}
+			s.is.Equal(s.asked(test.operation), before)
+		})
+	}
+	t.Run("a change is told to the leader", func(t *testing.T) {
+		before := s.asked("announce")
+		s.infos[0].Sequence++
+		s.infos[0].Draining = true
+		for _, address := range s.seeds {
+			_, err := s.vms[address].vm.Announce(t.Context(), s.infos[0])
+			s.is.NoErr(err)
+		}
+		s.is.True(s.asked("announce") > before)
+	})
+	t.Run("only the leader says that a workflow is unknown", func(t *testing.T) {
+		before := s.asked("state")
+		_, err := s.entry().State(t.Context(), "none", "team")
+		s.is.Equal(pj.AsError(err).Code, pj.CodeUnknownJob)
+		s.is.Equal(s.asked("state"), before+1)
+	})
+}
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -106,13 +106,16 @@
 	if state, ok := v.finals.get(workspace + "/" + id); ok {
 		return state, nil
 	}
-	var state pj.WorkflowState
-	if err := v.callInTurn(ctx, opState, workflowQuery{ID: id, Workspace: workspace}, &state); err != nil {
-		var refused *pj.Error
-		if !errors.As(err, &refused) || refused.Code != pj.CodeUnknownJob {
-			v.log("state_unknown", "workflow", id, "err", err)
+	query := workflowQuery{ID: id, Workspace: workspace}
+	state, ok := v.nearState(ctx, query)
+	if !ok {
+		if err := v.callInTurn(ctx, opState, query, &state); err != nil {
+			var refused *pj.Error
+			if !errors.As(err, &refused) || refused.Code != pj.CodeUnknownJob {
+				v.log("state_unknown", "workflow", id, "err", err)
+			}
+			return "", err
 		}
-		return "", err
 	}
 	if state.Final() {
 		v.finals.put(workspace+"/"+id, state)
@@ -153,12 +156,19 @@
 	return rules, err
 }
 
-// Announce takes in what a worker says of itself and returns the address for its next announcements.
+// Announce takes in what a worker says of itself and returns the address for its next announcements, this VM's if it is a replica.
 func (v *VM) Announce(ctx context.Context, w pj.CalledWorker) (string, error) {
+	if v.replica != nil && v.replica.knows(ctx, &w) {
+		return withPort(v.options.Address, v.options.PublicPort), nil
+	}
 	if err := v.call(ctx, opAnnounce, w, nil); err != nil {
 		return "", err
 	}
-	return withPort(v.finder.Leader(Group), v.options.PublicPort), nil
+	next := v.options.Address
+	if v.replica == nil {
+		next = v.finder.Leader(Group)
+	}
+	return withPort(next, v.options.PublicPort), nil
 }
 
 // Leave takes in that a worker ends.
--- a/internal/server/cluster/messages.go
+++ b/internal/server/cluster/messages.go
@@ -20,6 +20,8 @@
 	opLeave     = "leave"
 	opOrders    = "orders"
 	opAnswers   = "answers"
+
+	opKnownState = "known_state"
 )
 
 // helloReply tells the identity of a VM's data folder and whether the group was started there.
@@ -50,6 +52,8 @@
 	Version int64       `json:"version"`
 	Rules   *pj.Ruleset `json:"rules,omitempty"`
 	Members []string    `json:"members"`
+	Applied uint64      `json:"applied"`        // index up to which the leader has applied the log
+	Near    string      `json:"near,omitempty"` // the replica that answers this VM for the leader; empty if the leader does itself
 }
 
 // workflowQuery names a workflow of a workspace; an empty workspace stands for any.
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -22,6 +22,7 @@
 	t[opOrders] = operation.Typed(r.runOrders)
 	t[opAnswers] = operation.Typed(r.runAnswers)
 	t[opLeave] = operation.Typed(r.runLeave)
+	t[opKnownState] = operation.Typed(r.runKnownState)
 }
 
 // leading runs work on the control goroutine if this VM leads.
@@ -57,7 +58,10 @@
 		r.askers[s.VM] = now
 		r.hearPeer(now, s)
 		rules := r.state.Rules()
-		answer := syncReply{Version: rules.Version, Members: r.memberVMs()}
+		answer := syncReply{Version: rules.Version, Members: r.memberVMs(), Applied: r.group.Applied()}
+		if !s.Replica && r.controller.Workers() >= relayFrom {
+			answer.Near = r.relayOf(now, s.Zone, nil)
+		}
 		if rules.Document != nil && (!s.Have || s.Version < rules.Version) {
 			copied := *rules
 			answer.Rules = &copied
