--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -13,9 +13,11 @@
 	"papayajunction/internal/control/quorum"
 )
 
-// Limits of the log that is kept.
+// Limits of the log that is kept. Between two snapshots the log grows by as many bytes as a snapshot has, so that
+// snapshots cost no more than the log, however large the state is.
 const (
-	snapshotEvery = 2000 // applied entries between snapshots
+	snapshotLeast = 2000  // applied entries between snapshots
+	snapshotMost  = 10000 // entries that are held in memory, and applied again after a start
 	keepEntries   = 500  // entries kept before a snapshot for members that are a little behind
 	retryWrite    = time.Second
 	writeStall    = 800 * time.Millisecond // a write that takes longer makes this VM's members passive until it ends
@@ -84,7 +86,9 @@
 	reads      map[uint64]func(error)
 	nextRead   uint64
 	applied    uint64
-	snapshotAt uint64
+	snapshotAt uint64 // index of the last snapshot
+	snapshot   int    // its bytes
+	since      int    // bytes of commands applied since
 	lead       pj.Lead
 	serving    bool
 	onChange   func(serving bool, term uint64)
@@ -336,7 +340,7 @@
 		panic(fmt.Sprintf("group %s: restore snapshot %d: %v", g.name, s.Index, err))
 	}
 	g.applied = s.Index
-	g.snapshotAt = s.Index
+	g.snapshotAt, g.snapshot, g.since = s.Index, len(s.Data), 0
 }
 
 func (g *Group) applyEntry(e pj.LogEntry) {
@@ -345,6 +349,7 @@
 		value = g.state.Apply(e.Index, e.Data)
 	}
 	g.applied = e.Index
+	g.since += len(e.Data)
 	p, ok := g.pending[e.Index]
 	if !ok {
 		return
@@ -358,7 +363,8 @@
 }
 
 func (g *Group) maybeSnapshot() {
-	if g.applied < g.snapshotAt+snapshotEvery {
+	entries := g.applied - g.snapshotAt
+	if entries < snapshotLeast || (entries < snapshotMost && g.since < g.snapshot) {
 		return
 	}
 	data, err := g.state.Snapshot()
@@ -366,7 +372,7 @@
 		return
 	}
 	g.core.Compact(g.applied, data, keepEntries)
-	g.snapshotAt = g.applied
+	g.snapshotAt, g.snapshot, g.since = g.applied, len(data), 0
 }
 
 // Commit proposes a command; done is called on the control goroutine.
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -314,3 +315,49 @@
 		})
 	}
 }
+
+// TestSnapshotsCostNoMoreThanLog guards against the class of incident SHORT, a cost of each commit that grows with the state: snapshots were
+// made every 2000 entries, whatever they cost.
+func TestSnapshotsCostNoMoreThanLog(t *testing.T) {
+	const commands, commandBytes = 8000, 100
+	is := is.New(t)
+	clock := &steadyClock{}
+	state := &countedList{}
+	host := replica.New(replica.Options{VM: "a", Incarnation: "1", Saver: &disk{}, Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Heartbeat: time.Second, Election: time.Second})
+	genesis := &pj.LogSnapshot{Index: 1, Term: 1, Membership: pj.Membership{Voters: []string{host.ID()}}}
+	group := host.Add("g", 0, state, pj.Recovered{Snapshot: genesis}, nil, nil)
+	for !group.Lead().IsLeader {
+		clock.now += 100 * time.Millisecond
+		host.Tick()
+		host.Flush()
+	}
+	for range commands {
+		group.Commit(bytes.Repeat([]byte("c"), commandBytes), func(r pj.CommitResult) { is.NoErr(r.Err) })
+		host.Flush()
+	}
+	is.Equal(len(state.commands), commands)
+	is.True(state.snapshots > 0)
+	is.True(state.snapshots <= 2*commands*commandBytes) // bytes
+}
+
+// countedList counts the bytes of its snapshots.
+type countedList struct {
+	list
+
+	snapshots int
+}
+
+// Snapshot is part of pj.Replicated.
+func (l *countedList) Snapshot() ([]byte, error) {
+	data, err := l.list.Snapshot()
+	l.snapshots += len(data)
+	return data, err
+}
+
+type steadyClock struct {
+	now time.Duration
+}
+
+func (c *steadyClock) Now() time.Duration {
+	return c.now
+}
