--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -18,7 +18,7 @@
 const (
 	snapshotLeast = 2000  // applied entries between snapshots
 	snapshotMost  = 10000 // entries that are held in memory, and applied again after a start
-	keepEntries   = 500  // entries kept before a snapshot for members that are a little behind
+	keepEntries   = 500   // entries kept before a snapshot for members that are a little behind
 	retryWrite    = time.Second
 	writeStall    = 800 * time.Millisecond // a write that takes longer makes this VM's members passive until it ends
 )
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -5,6 +5,7 @@
 package runs
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -49,6 +50,7 @@
 	Orders Orders
 	Events Events
 	Lease  time.Duration // of a worker; the same on all VMs of a system; 0 for DefaultLease
+	Keep   time.Duration // how long callers may ask for workflows in a final state; 0 for DefaultKeep
 }
 
 // Times of leases and records.
@@ -57,9 +59,10 @@
 	longestLease  = 12 * time.Second       // no worker holds a lease for longer, whatever an order says and however slow its clock is
 	clockSlack    = 0.97                   // least rate of a worker's clock against this VM's
 	leaseMargin   = 100 * time.Millisecond // after the end of a lease, until its tasks count as ended
-	retention     = 20 * time.Minute       // how long workflows in a final state are kept
-	retentionStep = 5 * time.Second
-	forgetMost    = 200 // workflows forgotten in one command
+	DefaultKeep   = 20 * time.Minute
+	keepSlack     = 30 * time.Second // wall clocks of leaders differ, and may jump by seconds
+	retentionStep = time.Second
+	forgetMost    = 1000 // workflows forgotten in one command: more than callers hand in during a step
 )
 
 // Controller is the leader's working memory. Its methods must be called on the control goroutine.
@@ -115,9 +118,8 @@
 
 // New returns the controller of a leader that was just elected.
 func New(options Options) *Controller {
-	if options.Lease == 0 {
-		options.Lease = DefaultLease
-	}
+	options.Lease = cmp.Or(options.Lease, DefaultLease)
+	options.Keep = cmp.Or(options.Keep, DefaultKeep)
 	c := &Controller{
 		options:   options,
 		since:     options.Clock.Now(),
@@ -287,14 +289,8 @@
 		return
 	}
 	c.forgotAt = now
-	limit := c.options.Unix() - retention.Milliseconds()
-	var old []string
-	c.options.State.Records(func(r *workflow.Record) {
-		if len(old) < forgetMost && r.FinalAt != 0 && r.FinalAt < limit && r.Live() == 0 {
-			old = append(old, r.Workflow.ID)
-		}
-	})
-	if len(old) > 0 {
+	limit := c.options.Unix() - (c.options.Keep + keepSlack).Milliseconds()
+	if old := c.options.State.EndedBefore(limit, forgetMost); len(old) > 0 {
 		c.commit(workflow.Command{Forget: old}, func(workflow.Result, error) {})
 	}
 }
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -116,7 +116,8 @@
 	orders *orders
 	c      *runs.Controller
 
-	version int64 // of the rules that were published last
+	version int64         // of the rules that were published last
+	keep    time.Duration // workflows in a final state
 }
 
 const (
@@ -168,7 +169,7 @@
 	x.c = runs.New(runs.Options{
 		Term: term, State: x.group.state, Group: x.group, Clock: x.clock,
 		Unix:   func() int64 { return testTime + x.clock.now.Milliseconds() },
-		Orders: x.orders, Events: events{},
+		Orders: x.orders, Events: events{}, Keep: x.keep,
 	})
 }
 
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -197,6 +197,20 @@
 	}
 }
 
+// EndedBefore returns up to most workflows that have been in a final state since before a Unix time in milliseconds and of which nothing runs.
+func (s *State) EndedBefore(unixMS int64, most int) []string {
+	var ids []string
+	for id, r := range s.records {
+		if len(ids) >= most {
+			break
+		}
+		if r.FinalAt != 0 && r.FinalAt < unixMS && r.live == 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Worker returns an announced worker.
 func (s *State) Worker(id string) (pj.CalledWorker, bool) {
 	w, ok := s.workers[id]
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -43,7 +43,8 @@
 	DataDir    string
 	Bootstrap  bool // the system starts for the first time
 	Seeds      func() []string
-	PublicPort int // of the replicas' interface for workers and operators
+	PublicPort int           // of the replicas' interface for workers and operators
+	Keep       time.Duration // how long callers may ask for workflows in a final state; 0 for the controller's own
 	Link       pj.WorkerLink
 	Advisor    pj.Advisor
 	Logger     Logger
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -160,7 +160,7 @@
 		Term: term, State: r.state, Group: r.group, Clock: r.vm.clock,
 		Unix:   func() int64 { return time.Now().UnixMilli() },
 		Orders: &orders{replica: r, relays: r.relays},
-		Events: newEvents(r.vm),
+		Events: newEvents(r.vm), Keep: r.vm.options.Keep,
 	})
 	r.controller.SetAskers(r.liveAskers(r.vm.clock.Now()))
 	r.vm.finder.SetLeader(Group, r.vm.options.Address)
