Rules are relied on for less time than newer ones may take to be in force

Callers could see: a VM that the busy leader didn't answer went on with old rules for 3 s, while operators on today's sites are promised 2.5 s (config_apply_ms), and on the grown sites 3.0 s without a margin.

Change: the settings say how soon rules must be in force (rules_within); the lease is 300 ms shorter, at least 1.3 s, at most 3 s as before.

--- a/cmd/papayacell/main.go
+++ b/cmd/papayacell/main.go
@@ -80,7 +80,7 @@
 	vm, closeVM, err := cluster.New(cluster.Options{
 		Address: s.PeerAddress(), Zone: s.Zone, Region: s.Region, Rank: s.Rank(), Replica: s.Role == settings.RoleReplica, DataDir: s.DataDir,
 		Bootstrap: s.Bootstrap, Seeds: func() []string { return current.Load().PeerSeeds() },
-		PublicPort: s.ControlPort(), Keep: s.Keep, Link: client, Advisor: client, Logger: logger, Metrics: set,
+		PublicPort: s.ControlPort(), Keep: s.Keep, RulesWithin: s.RulesWithin, Link: client, Advisor: client, Logger: logger, Metrics: set,
 	})
 	if err != nil {
 		return fmt.Errorf("start VM: %w", err)
--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -40,6 +40,7 @@
 	DataDir       string
 	Advice        string // address of the policy of queues that have one
 	Grace         time.Duration
+	RulesWithin   time.Duration // how soon after their acknowledgement rules must be in force on every VM; 0 if nothing is promised
 	Keep          time.Duration // how long callers may ask for workflows in a final state; 0 for the daemon's own
 	MemoryMB      int64
 	InsecurePeers bool // links between VMs are plain, on a private network
@@ -86,6 +87,7 @@
 	fs.StringVar(&s.DataDir, "data_dir", s.DataDir, "replicas: folder for durable state")
 	fs.StringVar(&s.Advice, "advice", s.Advice, "IP and port of the policy of queues that have one")
 	fs.DurationVar(&s.Grace, "grace", s.Grace, "time from SIGTERM to SIGKILL")
+	fs.DurationVar(&s.RulesWithin, "rules_within", s.RulesWithin, "how soon after their acknowledgement rules must be in force on every VM, 0 if nothing is promised")
 	fs.DurationVar(&s.Keep, "keep", s.Keep, "how long callers may ask for workflows in a final state, 0 for 20m")
 	fs.Int64Var(&s.MemoryMB, "memory_mb", s.MemoryMB, "memory of this VM in MiB, 0 if unknown")
 	fs.BoolVar(&s.InsecurePeers, "insecure_peers", s.InsecurePeers, "links between VMs are plain; for private networks only")
@@ -146,8 +148,8 @@
 	for _, seed := range s.Seeds {
 		address("seeds", seed)
 	}
-	if s.Grace <= 0 || s.MemoryMB < 0 || s.Keep < 0 {
-		fault("grace must be above 0, memory_mb and keep at least 0")
+	if s.Grace <= 0 || s.MemoryMB < 0 || s.Keep < 0 || s.RulesWithin < 0 {
+		fault("grace must be above 0, memory_mb, keep and rules_within at least 0")
 	}
 	return errors.Join(faults...)
 }
--- a/internal/control/rulebook/rulebook.go
+++ b/internal/control/rulebook/rulebook.go
@@ -2,19 +2,21 @@
 package rulebook
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
 	pj "papayajunction"
 )
 
-// Lease is how long rules and keys are relied on after the leader was last asked for newer ones. It bounds how
+// DefaultLease is how long rules and keys are relied on after the leader was last asked for newer ones. It bounds how
 // long a withdrawn key works.
-const Lease = 3 * time.Second
+const DefaultLease = 3 * time.Second
 
 // Book is safe for use by many goroutines. It never goes back to older rules.
 type Book struct {
 	clock pj.Clock
+	lease time.Duration
 
 	mu         sync.RWMutex
 	rules      *pj.Ruleset
@@ -22,9 +24,9 @@
 	askedAt    time.Duration
 }
 
-// New returns a book without rules.
-func New(clock pj.Clock) *Book {
-	return &Book{clock: clock, rules: &pj.Ruleset{}}
+// New returns a book without rules. They will be relied on for the given time after each question, 0 for DefaultLease.
+func New(clock pj.Clock, lease time.Duration) *Book {
+	return &Book{clock: clock, lease: cmp.Or(lease, DefaultLease), rules: &pj.Ruleset{}}
 }
 
 // Rules returns the rules in force, as far as this VM knows. They must not be changed.
@@ -47,7 +49,7 @@
 	}
 	if b.rules.Version >= version {
 		b.askedAt = max(b.askedAt, asked)
-		b.leaseUntil = max(b.leaseUntil, asked+Lease)
+		b.leaseUntil = max(b.leaseUntil, asked+b.lease)
 	}
 	return changed
 }
--- a/internal/control/rulebook/rulebook_test.go
+++ b/internal/control/rulebook/rulebook_test.go
@@ -21,6 +21,7 @@
 // TestBook covers what a VM may rely on and for how long.
 func TestBook(t *testing.T) {
 	tests := map[string]struct {
+		lease   time.Duration
 		run     func(b *rulebook.Book, c *clock)
 		inForce bool
 		version int64
@@ -34,7 +35,15 @@
 		"the lease counts from the question": {run: func(b *rulebook.Book, c *clock) {
 			c.now = 2 * time.Second
 			b.Learn(0, 2, rules(2)) // the answer came late
-			c.now = rulebook.Lease
+			c.now = rulebook.DefaultLease
+		}, version: 2},
+		"within a lease that is set": {lease: time.Second, run: func(b *rulebook.Book, c *clock) {
+			b.Learn(0, 2, rules(2))
+			c.now = time.Second - 1
+		}, inForce: true, version: 2},
+		"after a lease that is set": {lease: time.Second, run: func(b *rulebook.Book, c *clock) {
+			b.Learn(0, 2, rules(2))
+			c.now = time.Second
 		}, version: 2},
 		"renewed without news": {run: func(b *rulebook.Book, c *clock) {
 			b.Learn(0, 2, rules(2))
@@ -53,7 +62,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := &clock{}
-			b := rulebook.New(c)
+			b := rulebook.New(c, tc.lease)
 			tc.run(b, c)
 			is.Equal(b.InForce() == nil, tc.inForce)
 			is.Equal(b.Rules().Version, tc.version)
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -43,12 +43,14 @@
 	DataDir    string
 	Bootstrap  bool // the system starts for the first time
 	Seeds      func() []string
-	PublicPort int           // of the replicas' interface for workers and operators
-	Keep       time.Duration // how long callers may ask for workflows in a final state; 0 for the controller's own
-	Link       pj.WorkerLink
-	Advisor    pj.Advisor
-	Logger     Logger
-	Metrics    *metrics.Set
+	PublicPort int // of the replicas' interface for workers and operators
+	// RulesWithin is how soon after their acknowledgement rules must be in force on every VM; 0 if nothing is promised.
+	RulesWithin time.Duration
+	Keep        time.Duration // how long callers may ask for workflows in a final state; 0 for the controller's own
+	Link        pj.WorkerLink
+	Advisor     pj.Advisor
+	Logger      Logger
+	Metrics     *metrics.Set
 }
 
 // Logger takes log lines.
@@ -79,7 +81,7 @@
 // New starts a VM and returns a function that stops it.
 func New(options Options) (*VM, func(), error) {
 	clock := bootclock.New()
-	v := &VM{options: options, clock: clock, book: rulebook.New(clock), finals: newFinals(finalsMost), window: newWindow(clock)}
+	v := &VM{options: options, clock: clock, book: rulebook.New(clock, rulesLease(options.RulesWithin)), finals: newFinals(finalsMost), window: newWindow(clock)}
 	transport, closeTransport := peer.NewTransport(options.Address, addressOf, nil, peer.NewTraffic(options.Metrics))
 	v.transport = transport
 	v.operations = operation.Table{opAdvise: operation.Typed(v.runAdvise)}
@@ -106,6 +108,21 @@
 	}, nil
 }
 
+// rulesMargin is the part of RulesWithin that is left for clocks that run at different rates and for a call on its way.
+const rulesMargin = 300 * time.Millisecond
+
+// rulesLease returns how long a VM may rely on its rules, 0 for the default. A longer lease than within would let a VM that the leader
+// doesn't answer go on with rules that should be replaced everywhere.
+func rulesLease(within time.Duration) time.Duration {
+	if within <= 0 {
+		return 0
+	}
+	return min(max(within-rulesMargin, rulesLeaseLeast), rulebook.DefaultLease)
+}
+
+// rulesLeaseLeast lets a VM miss one answer of the leader.
+const rulesLeaseLeast = 2*syncInterval + tryTimeout
+
 // addressOf says where a VM listens: VMs are named by their addresses.
 func addressOf(vm string) (string, bool) {
 	return vm, vm != ""
--- a/internal/server/cluster/near_test.go
+++ b/internal/server/cluster/near_test.go
@@ -38,7 +38,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			clock := &fixedClock{now: time.Minute}
-			v := &VM{clock: clock, book: rulebook.New(clock), options: Options{Metrics: metrics.NewSet()}}
+			v := &VM{clock: clock, book: rulebook.New(clock, 0), options: Options{Metrics: metrics.NewSet()}}
 			r := &replica{vm: v, state: workflow.NewState()}
 			if test.started {
 				host := control.New(control.Options{VM: "vm", Saver: &saver.Saver{}, Clock: clock, Rand: newRand(), Heartbeat: heartbeat, Election: election})
