--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -65,7 +65,15 @@
 // Run runs one command and returns its exit code.
 func (a *App) Run(ctx context.Context, args []string) int {
 	root := a.root()
-	err := root.ParseAndRun(ctx, args)
+	err := root.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK // the help was asked for
+	case err != nil:
+		a.printError(err)
+		return ExitUsage
+	}
+	err = root.Run(ctx)
 	switch {
 	case err == nil:
 		return ExitOK
