Quorum: entries are not sent again into a link that is slow

Cause: entries that weren't acknowledged within 300 ms counted as lost and were sent again every 300 ms. A configuration of 1,572 queues, about 1 MB, takes longer to a member in the other region, so each copy was followed by the next before it had arrived; heartbeats and other traffic stood behind them. The class: a retry by time on a congested way adds to the congestion.

Ruled out: their disks (no write was under way) and their processors (0.1 of 0.43 cores).

Why this works: messages to a member are sent on one stream, in order. If entries on it were lost, the member rejects the next heartbeat, which continues them, and is sent what it lacks; rejections of what was sent before that are ignored. Silence proves nothing.

--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -18,8 +18,8 @@
 	ackedRound uint64
 	ackedSent  time.Duration // when the newest acknowledged round was sent
 	heard      bool
-	movedAt    time.Duration // when match last moved or entries were first sent after that
 	sentAt     time.Duration // when entries were last sent
+	resetRound uint64        // the round in which next was last set back
 	snapshotAt time.Duration // when a snapshot was last sent; 0 if none is on its way
 
 	snapshotRound uint64 // the round in which it was sent
@@ -35,7 +35,7 @@
 	}
 	for _, id := range all {
 		if id != c.options.ID && c.peers[id] == nil {
-			c.peers[id] = &progress{next: c.log.lastIndex() + 1, ackedSent: now, movedAt: now}
+			c.peers[id] = &progress{next: c.log.lastIndex() + 1, ackedSent: now}
 		}
 	}
 }
@@ -62,12 +62,9 @@
 	}
 }
 
+// sendAppend sends what a member lacks. Entries are sent once: messages to a member arrive in order or not at all, so if some were lost the
+// member rejects the next heartbeat, which continues them. Silence proves nothing, because the link may be slow or full.
 func (c *Core) sendAppend(now time.Duration, id string, p *progress, heartbeat bool) {
-	if p.match+1 < p.next && now > p.movedAt+3*c.options.Heartbeat {
-		// Nothing was acknowledged for a while, so what was sent counts as lost.
-		p.next = p.match + 1
-		p.movedAt = now
-	}
 	prevTerm, held := c.log.term(p.next - 1)
 	if !held || p.next < c.log.first {
 		c.sendSnapshot(now, id, p, heartbeat)
@@ -86,9 +83,6 @@
 		Commit: c.log.commit, Round: c.round, Entries: entries,
 	})
 	if len(entries) > 0 {
-		if p.match+1 == p.next {
-			p.movedAt = now
-		}
 		p.next += uint64(len(entries))
 		p.sentAt = now
 	}
@@ -179,9 +173,13 @@
 		c.finishReads()
 	}
 	if m.Reject {
+		if m.Round < p.resetRound {
+			return // what was sent again since then is still on its way
+		}
 		if m.Round > p.snapshotRound {
 			p.snapshotAt = 0 // what was sent later arrived, so the snapshot was lost
 		}
+		p.resetRound = c.round
 		p.next = max(min(p.next-1, m.Index+1), p.match+1)
 		// Not as a heartbeat: a member that waits for a snapshot would reject it again at once.
 		c.sendAppend(now, m.From, p, false)
@@ -189,7 +187,6 @@
 	}
 	if m.Index > p.match {
 		p.match = m.Index
-		p.movedAt = now
 		p.snapshotAt = 0
 	}
 	p.next = max(p.next, p.match+1)
