Messages between VMs of 64 KiB or more are compressed

Cause: a configuration of 1,572 queues is about 1 MB in the log and goes to five members, three of them over the link between regions, which also carries submissions; on one stream it holds up heartbeats. As JSON it compresses to a tenth.

--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -148,7 +148,7 @@
 	for _, seed := range s.Seeds {
 		address("seeds", seed)
 	}
-	if s.Grace <= 0 || s.MemoryMB < 0 || s.Keep < 0 || s.RulesWithin < 0 {
+	if s.Grace <= 0 || min(s.MemoryMB, int64(s.Keep), int64(s.RulesWithin)) < 0 {
 		fault("grace must be above 0, memory_mb, keep and rules_within at least 0")
 	}
 	return errors.Join(faults...)
--- a/internal/server/peer/transport.go
+++ b/internal/server/peer/transport.go
@@ -18,6 +18,7 @@
 const (
 	sendQueue   = 1024 // batches waiting for a VM; more are dropped, the protocol sends again
 	reopenAfter = 100 * time.Millisecond
+	packFrom    = 64 << 10 // bytes of a message from which on it is compressed: it would hold up what follows it on a slow link
 )
 
 // Transport sends messages and calls to the other VMs. Connections are made when they are first used.
@@ -62,11 +63,9 @@
 	if t.tls != nil {
 		scheme = "https://"
 	}
-	l := &link{
-		vm:     vm,
-		client: peerpbconnect.NewPeerServiceClient(newClient(vm, t.tls, t.traffic), scheme+address),
-		queue:  make(chan []pj.PeerMessage, sendQueue),
-	}
+	client := peerpbconnect.NewPeerServiceClient(newClient(vm, t.tls, t.traffic), scheme+address,
+		connect.WithSendGzip(), connect.WithCompressMinBytes(packFrom))
+	l := &link{vm: vm, client: client, queue: make(chan []pj.PeerMessage, sendQueue)}
 	t.links[vm] = l
 	return l
 }
