--- a/cmd/papayasoak/main.go
+++ b/cmd/papayasoak/main.go
@@ -35,6 +35,7 @@
 	dir := flags.String("dir", ".", "folder of the settings and of the VMs' data")
 	seed := flags.Uint64("seed", 1, "of the plan")
 	span := flags.Duration("span", defaultSpan, "length of the run")
+	sizeName := flags.String("size", "small", "of the cell: small or large")
 	patience := flags.Duration("patience", 0, "how long work may take to end after the run; 0 waits without end")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("PAPAYASOAK")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -43,8 +44,12 @@
 		_, _ = fmt.Fprintln(out, "papayasoak:", err)
 		return exitFailed
 	}
+	size, ok := soak.Sizes[*sizeName]
+	if !ok {
+		return failed(out, fmt.Errorf("size %q is not one of small, large", *sizeName))
+	}
 	if *verb == settingsVerb {
-		names, err := soak.WriteSettings(*dir)
+		names, err := size.WriteSettings(*dir)
 		for _, name := range names {
 			_, _ = fmt.Fprintln(orders, name)
 		}
@@ -52,7 +57,7 @@
 	}
 	caller, closeCaller := platform.NewCaller(callTimeout)
 	defer closeCaller()
-	options := soak.Options{Seed: *seed, Span: *span, Patience: *patience, System: caller, Worker: platform.NewWorker}
+	options := soak.Options{Seed: *seed, Size: size, Span: *span, Patience: *patience, System: caller, Worker: platform.NewWorker}
 	breaches, err := soak.Run(context.Background(), options, orders, out)
 	for _, b := range breaches {
 		_, _ = fmt.Fprintln(out, "BROKEN", b)
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -15,25 +15,37 @@
 	"papayajunction/internal/config/settings"
 )
 
+// Size is how large a cell is and how much work it is handed.
+type Size struct {
+	Replicas      int
+	Entries       int
+	Workers       int
+	JobsPerSecond int
+}
+
+// Sizes by name. In a large cell replicas call the workers and answer for the leader, and two of them may be lost.
+var Sizes = map[string]Size{
+	"small": {Replicas: 3, Entries: 2, Workers: 12, JobsPerSecond: 8},
+	"large": {Replicas: 6, Entries: 12, Workers: 350, JobsPerSecond: 60},
+}
+
 // The cell of a run, on loopback addresses.
 const (
-	replicaCount = 3
-	entryCount   = 2
-	workerCount  = 12
-	peerPort     = 7801 // where the forwarders stand
-	ownPeerPort  = 7802 // where the VMs listen behind them
-	controlPort  = 7803
-	frontPort    = 7804
-	readyPort    = 7805
-	workerPort   = 7900 // of the first worker
-	workerIP     = "127.0.1.1"
-	taskTime     = 400 * time.Millisecond
-	zoneCount    = 3
-	pool         = "pool"
-	replicaRole  = settings.RoleReplica
-	entryRole    = settings.RoleEntry
-	workerCores  = 8
-	workerGB     = 16
+	peerPort    = 7801 // where the forwarders stand
+	ownPeerPort = 7802 // where the VMs listen behind them
+	controlPort = 7803
+	frontPort   = 7804
+	readyPort   = 7805
+	workerPort  = 8000 // of the first worker
+	workerIP    = "127.0.1.1"
+	taskTime    = 400 * time.Millisecond
+	zoneCount   = 3
+	seedCount   = 3 // replicas that form the group
+	pool        = "pool"
+	replicaRole = settings.RoleReplica
+	entryRole   = settings.RoleEntry
+	workerCores = 8
+	workerGB    = 16
 )
 
 // System is how callers, operators and workers speak with the cell; addresses are those of VMs.
@@ -56,12 +68,12 @@
 	role string
 }
 
-func vms() []vm {
+func (s Size) vms() []vm {
 	var list []vm
-	for i := range replicaCount + entryCount {
+	for i := range s.Replicas + s.Entries {
 		v := vm{name: fmt.Sprintf("replica-%d", i+1), ip: fmt.Sprintf("127.0.1.%d", 11+i), role: replicaRole}
-		if i >= replicaCount {
-			v.name, v.role = fmt.Sprintf("entry-%d", i-replicaCount+1), entryRole
+		if i >= s.Replicas {
+			v.name, v.role = fmt.Sprintf("entry-%d", i-s.Replicas+1), entryRole
 		}
 		list = append(list, v)
 	}
@@ -72,8 +84,8 @@
 	return net.JoinHostPort(v.ip, strconv.Itoa(port))
 }
 
-func vmNames(role string) (list []string) {
-	for _, v := range vms() {
+func (s Size) vmNames(role string) (list []string) {
+	for _, v := range s.vms() {
 		if v.role == role {
 			list = append(list, v.name)
 		}
@@ -82,12 +94,12 @@
 }
 
 // WriteSettings writes the settings file of each VM into a folder and returns the VMs' names.
-func WriteSettings(dir string) ([]string, error) {
+func (s Size) WriteSettings(dir string) ([]string, error) {
 	var seeds, written []string
-	for _, v := range vms()[:replicaCount] {
+	for _, v := range s.vms()[:seedCount] {
 		seeds = append(seeds, v.at(controlPort))
 	}
-	for i, v := range vms() {
+	for i, v := range s.vms() {
 		data, err := json.MarshalIndent(map[string]any{
 			"vm": v.name, "role": v.role, "zone": zone(i), "region": "region", "ip": v.ip, "peer_port": peerPort,
 			"listen_peer": v.at(ownPeerPort), "listen_control": v.at(controlPort), "listen_front": v.at(frontPort), "listen_ready": v.at(readyPort),
@@ -109,9 +121,9 @@
 }
 
 // workers describes the stand-ins for workers.
-func workers() []pj.CalledWorker {
+func (s Size) workers() []pj.CalledWorker {
 	var infos []pj.CalledWorker
-	for i := range workerCount {
+	for i := range s.Workers {
 		infos = append(infos, pj.CalledWorker{
 			ID: fmt.Sprintf("worker-%d", i+1), Born: time.Now().UnixMilli(), Address: net.JoinHostPort(workerIP, strconv.Itoa(workerPort+i)),
 			Pool: pool, Zone: zone(i), Rack: "r1", Labels: []string{"a", "r1"}, Capacity: pj.NewResources(workerCores, workerGB, 0, 0),
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -13,7 +13,6 @@
 
 // Figures of the load.
 const (
-	jobsPerSecond  = 8
 	cancelOneIn    = 12
 	configEvery    = 3 * time.Second
 	announceEvery  = 700 * time.Millisecond
@@ -34,6 +33,7 @@
 
 // load hands in work and remembers what was promised.
 type load struct {
+	size   Size
 	system System
 	fleet  *called.Fleet
 
@@ -45,9 +45,9 @@
 	breaches []string
 }
 
-func newLoad(seed uint64, system System, fleet *called.Fleet) *load {
+func newLoad(seed uint64, size Size, system System, fleet *called.Fleet) *load {
 	return &load{
-		system: system, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // not for secrets
+		size: size, system: system, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // not for secrets
 		jobs: make(map[string]*job), ran: make(map[string]bool),
 	}
 }
@@ -87,7 +87,7 @@
 // pick returns a random VM's address at a port.
 func (l *load) pick(role string, port int) string {
 	var list []vm
-	for _, v := range vms() {
+	for _, v := range l.size.vms() {
 		if v.role == role {
 			list = append(list, v)
 		}
@@ -152,7 +152,7 @@
 
 // hand hands in jobs until ctx ends and asks for the state of earlier ones.
 func (l *load) hand(ctx context.Context) {
-	ticker := time.NewTicker(time.Second / jobsPerSecond)
+	ticker := time.NewTicker(time.Second / time.Duration(l.size.JobsPerSecond))
 	defer ticker.Stop()
 	for n := 1; ; n++ {
 		select {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 // Options configure a run.
 type Options struct {
 	Seed     uint64
+	Size     Size
 	Span     time.Duration
 	Patience time.Duration // how long work may take to end after the span; 0 waits without end
 	System   System
@@ -27,14 +28,14 @@
 func Run(ctx context.Context, o Options, orders, out io.Writer) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	infos := workers()
+	infos := o.Size.workers()
 	fleet := called.New(infos, taskTime)
-	l := newLoad(o.Seed, o.System, fleet)
+	l := newLoad(o.Seed, o.Size, o.System, fleet)
 	if err := serveWorkers(ctx, infos, &checkedLink{WorkerLink: fleet, load: l}, o.Worker); err != nil {
 		return nil, err
 	}
 	forwarders := make(map[string]*forwarder)
-	for _, v := range vms() {
+	for _, v := range o.Size.vms() {
 		f, err := newForwarder(ctx, v.at(peerPort), v.at(ownPeerPort))
 		if err != nil {
 			return nil, err
@@ -54,7 +55,7 @@
 
 	started := time.Now()
 	var faults sync.WaitGroup
-	for _, f := range Plan(o.Seed, o.Span, vmNames(replicaRole), vmNames(entryRole), names) {
+	for _, f := range Plan(o.Seed, o.Span, o.Size.vmNames(replicaRole), o.Size.vmNames(entryRole), names) {
 		time.Sleep(time.Until(started.Add(f.At)))
 		_, _ = fmt.Fprintln(out, "fault", f)
 		faults.Add(1)
