Quorum: a pre-vote without enough answers is asked again soon

Cause: members drop a pre-vote while they may still count on the leader. A member that stood some milliseconds earlier than the others had heard the last heartbeat got no answer and waited for another whole election timeout, 450 to 900 ms.

Change: the pre-vote is repeated after one to two heartbeats; asking raises no term. A vote that was lost is still repeated after a whole timeout.

TestPreVoteIsAskedAgainSoon failed before. TestRandomSchedules with 2,000 checks: none failed.

--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -281,11 +281,15 @@
 
 func (c *Core) resetElection(now time.Duration) {
 	span := c.options.ElectionTimeout
-	wait := span + span*time.Duration(c.options.Rank)
-	if c.options.Rand != nil {
-		wait += time.Duration(c.options.Rand.Int64N(int64(span)))
+	c.electionDue = now + span*time.Duration(c.options.Rank) + c.spread(span)
+}
+
+// spread returns a random time from one span to two, so that members don't act at the same moment.
+func (c *Core) spread(span time.Duration) time.Duration {
+	if c.options.Rand == nil {
+		return span
 	}
-	c.electionDue = now + wait
+	return span + time.Duration(c.options.Rand.Int64N(int64(span)))
 }
 
 func (c *Core) isVoter(id string) bool {
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -6,12 +6,13 @@
 	pj "papayajunction"
 )
 
-// startPreVote asks whether an election could be won, without raising the term.
+// startPreVote asks whether an election could be won, without raising the term. It is asked again soon: members that heard the leader a
+// moment later don't answer yet, and asking changes nothing.
 func (c *Core) startPreVote(now time.Duration) {
 	c.role = preCandidate
 	c.leaderID = ""
 	c.votes = map[string]bool{c.options.ID: true}
-	c.resetElection(now)
+	c.electionDue = now + c.spread(c.options.Heartbeat)
 	if c.isOnlyVoter() {
 		c.startElection(now, false)
 		return
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -346,3 +346,21 @@
 		})
 	}
 }
+
+// TestPreVoteIsAskedAgainSoon guards against long elections: a member that stood a moment too early waited for a whole election timeout, and
+// nothing started meanwhile.
+func TestPreVoteIsAskedAgainSoon(t *testing.T) {
+	is := is.New(t)
+	c := newCore(0, self, other, third)
+	asked, before := 0, c.Term()
+	for now := 2 * timeout; now < 2*timeout+4*quorum.DefaultHeartbeat; now += quorum.DefaultHeartbeat / 4 {
+		c.Tick(now)
+		for _, m := range sentBy(c, now) {
+			if m.Kind == pj.MessagePreVote && m.To == other {
+				asked++
+			}
+		}
+	}
+	is.Equal(asked, 4)
+	is.Equal(c.Term(), before) // asking changes nothing
+}
