--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -108,21 +108,6 @@
 	}, nil
 }
 
-// rulesMargin is the part of RulesWithin that is left for clocks that run at different rates and for a call on its way.
-const rulesMargin = 300 * time.Millisecond
-
-// rulesLease returns how long a VM may rely on its rules, 0 for the default. A longer lease than within would let a VM that the leader
-// doesn't answer go on with rules that should be replaced everywhere.
-func rulesLease(within time.Duration) time.Duration {
-	if within <= 0 {
-		return 0
-	}
-	return min(max(within-rulesMargin, rulesLeaseLeast), rulebook.DefaultLease)
-}
-
-// rulesLeaseLeast lets a VM miss one answer of the leader.
-const rulesLeaseLeast = 2*syncInterval + tryTimeout
-
 // addressOf says where a VM listens: VMs are named by their addresses.
 func addressOf(vm string) (string, bool) {
 	return vm, vm != ""
--- a/internal/server/cluster/near.go
+++ b/internal/server/cluster/near.go
@@ -36,11 +36,11 @@
 	if vm == "" {
 		return "", false
 	}
-	ctx, cancel := context.WithTimeout(ctx, nearTimeout)
+	bounded, cancel := context.WithTimeout(ctx, nearTimeout)
 	defer cancel()
-	err := v.transport.Call(ctx, vm, opKnownState, q, &state)
+	err := v.transport.Call(bounded, vm, opKnownState, q, &state)
 	var refused *pj.Error
-	if err != nil && !errors.As(err, &refused) {
+	if err != nil && ctx.Err() == nil && !errors.As(err, &refused) {
 		v.setNear("")
 		v.log("near_failed", "vm", vm, "err", err)
 	}
