Workers, work and answers: refuse what can't be, before it enters the state

Cause: announcements were checked for a service, an address and a state only. A port of 99999, a path in the address, a start time or sequence of the largest int64, and any capacity were acknowledged and replicated; capacities entered the sum of the fleet. An entry of another program under a worker's id with a later start time, another address or another capacity replaced the worker's description: it was no longer polled at its own address, and a 421 at the wrong one ended its runs, which then started again beside those that went on. After a restart that a poll showed first, tasks started by the former description. A workflow of 64 steps of 4,096 tasks that runs 10,000 times passed its check and asked each replica for terabytes.

The runs' test worker has an IP address as its address, as the check now asks for.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -163,11 +163,15 @@
 	if answer.ValidityMS == 0 {
 		validity = time.Duration(ts.record.Workflow.Advice.ValidityMS) * time.Millisecond
 	}
+	allowedWorkers := make(map[string]struct{}, len(answer.Tickets))
 	for _, t := range answer.Tickets {
-		ts.storeTicket(ticket{worker: c.workers[t.Worker], token: t.Ticket, incarnation: incarnations[t.Worker], expiresAt: now + validity - ticketMargin})
+		if incarnation, named := incarnations[t.Worker]; named {
+			allowedWorkers[t.Worker] = struct{}{}
+			ts.storeTicket(ticket{worker: c.workers[t.Worker], token: t.Ticket, incarnation: incarnation, expiresAt: now + validity - ticketMargin})
+		}
 	}
 	queue := ts.record.Workflow.Queue
-	allowed := float64(len(answer.Tickets)) / float64(len(incarnations))
+	allowed := float64(len(allowedWorkers)) / float64(len(incarnations))
 	c.allowedShares[queue] = c.allowedShare(queue)*(1-allowedShareWeight) + allowed*allowedShareWeight
 	c.options.Events.Record("advice", "workflow", ts.id.Workflow, "step", ts.id, "vm", a.vm, "took", now-sent,
 		"named", len(incarnations), "good", len(answer.Tickets))
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -136,7 +136,13 @@
 		allowedShares:    make(map[string]float64),
 	}
 	c.refreshRules()
-	options.State.Workers(func(w pj.PolledWorker) { c.addWorker(w) })
+	options.State.Workers(func(w pj.PolledWorker) {
+		if err := w.Check(); err != nil { // an earlier version has stored it
+			options.Events.Record("worker_ignored", "worker", w.ID, "err", err)
+			return
+		}
+		c.addWorker(w)
+	})
 	options.State.Records(c.adopt)
 	return c
 }
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -158,7 +158,7 @@
 
 func testWorker(id string) pj.PolledWorker {
 	return pj.PolledWorker{
-		ID: id, Incarnation: testIncarnation, Sequence: 1, Pool: "pool", Address: id + ":1", Zone: "zone-1", Rack: "r1",
+		ID: id, Incarnation: testIncarnation, Sequence: 1, Pool: "pool", Address: "10.0.0.1:1", Zone: "zone-1", Rack: "r1",
 		Capacity: pj.NewResources(8, 64, 0, 0),
 	}
 }
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -19,6 +19,7 @@
 	leaseRenewalWindow = 2200 * time.Millisecond // without an answer for this long, a worker's lease isn't renewed
 	exitDelay          = 400 * time.Millisecond  // upper bound of the time from a worker's leave call to the exit of its process
 	stopRetryInterval  = 600 * time.Millisecond
+	maxClockSkew       = time.Minute // wall clocks of VMs and workers differ by less; a later start time is not a worker's
 )
 
 // worker is the leader's state of a polled worker.
@@ -33,6 +34,8 @@
 	removed bool // no longer in Controller.workers
 	polling bool
 
+	described         int64         // incarnation that announced the worker's description; tasks start only while it is the current one
+	confirmedAddress  string        // address at which it last answered a poll of this leader
 	polled            bool          // it has answered a poll of this leader
 	polledAt          time.Duration // time of its last answer; initially the time of the election
 	clockMS           int64         // lower bound of the worker's clock at clockReadAt; 0 while unknown
@@ -48,7 +51,7 @@
 }
 
 func (c *Controller) addWorker(info pj.PolledWorker) *worker {
-	w := &worker{PolledWorker: info, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt}
+	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt}
 	c.workers[info.ID] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, info.ID, compareID)
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -71,13 +74,19 @@
 	c.ledger.SetCapacity(total)
 }
 
-// Announce registers a worker or updates its description, and calls done once that is committed.
+// Announce registers a worker or updates its description, and calls done once that is committed. An announcement that
+// can't come from the worker is refused.
 func (c *Controller) Announce(info pj.PolledWorker, done func(error)) {
 	recorded, ok := c.options.State.Worker(info.ID)
 	if ok && (recorded.Incarnation > info.Incarnation || (recorded.Incarnation == info.Incarnation && recorded.Sequence >= info.Sequence)) {
 		done(nil) // a later announcement is already committed
 		return
 	}
+	if err := c.checkAnnouncement(&info); err != nil {
+		c.options.Events.Record("announcement_refused", "worker", info.ID, "born", info.Incarnation, "address", info.Address, "err", err)
+		done(err)
+		return
+	}
 	if w := c.workers[info.ID]; ok && w != nil && w.leftAt == 0 && recorded.Incarnation == info.Incarnation && recorded.SameAs(&info) {
 		w.RemainingMS = info.RemainingMS
 		done(nil)
@@ -87,6 +96,31 @@
 	c.dirty = true
 }
 
+// checkAnnouncement returns an error if an announcement contradicts what is known, so that an entry that another program
+// wrote under a worker's id doesn't put the worker out of use.
+func (c *Controller) checkAnnouncement(info *pj.PolledWorker) error {
+	if info.Incarnation > c.latestIncarnation() {
+		return pj.Refuse(pj.CodeBadRequest, "worker %s: incarnation %d starts in the future", info.ID, info.Incarnation)
+	}
+	recorded, known := c.options.State.Worker(info.ID)
+	if rules := c.options.State.Rules(); !known && rules.Document != nil && !slices.Contains(rules.Pools, info.Pool) {
+		return pj.Refuse(pj.CodeBadRequest, "worker %s: no pool %s", info.ID, info.Pool)
+	}
+	if known && info.Incarnation != 0 && info.Incarnation == recorded.Incarnation && !recorded.SameDescription(info) {
+		return pj.Refuse(pj.CodeConflict, "worker %s: incarnation %d was announced with another description", info.ID, info.Incarnation)
+	}
+	w, now := c.workers[info.ID], c.options.Clock.Now()
+	if w != nil && w.Address != info.Address && w.confirmedAddress == w.Address && now <= w.polledAt+unresponsiveAfter {
+		return pj.Refuse(pj.CodeConflict, "worker %s still answers at %s", info.ID, w.Address)
+	}
+	return nil
+}
+
+// latestIncarnation returns the latest start time that a worker can have, in Unix milliseconds.
+func (c *Controller) latestIncarnation() int64 {
+	return c.options.UnixMilli() + maxClockSkew.Milliseconds()
+}
+
 // announcementCommitted updates the worker from a committed announcement, and polls it.
 func (c *Controller) announcementCommitted(info pj.PolledWorker) {
 	w := c.workers[info.ID]
@@ -98,7 +132,7 @@
 			w.clockMS, w.polled = 0, false
 		}
 		used := w.Capacity.Sub(w.free)
-		w.PolledWorker = info
+		w.PolledWorker, w.described = info, info.Incarnation
 		w.free = info.Capacity.Sub(used)
 		w.leftAt = 0
 		c.refreshCapacity()
@@ -133,8 +167,9 @@
 }
 
 // schedulable reports whether new tasks may start on the worker. The runs of a draining worker stay there until it leaves.
+// A new incarnation may have other labels and another capacity, so it must have announced them.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.usable && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
+	return w.usable && w.described == w.Incarnation && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
 }
 
 // restarted resets the lease state for a new incarnation of the worker. A start order for the previous incarnation may have
@@ -212,7 +247,7 @@
 		return
 	}
 	if response.Incarnation != 0 && response.Incarnation != w.Incarnation {
-		if response.Incarnation < w.Incarnation {
+		if response.Incarnation < w.Incarnation || response.Incarnation > c.latestIncarnation() {
 			w.nextPollAt = now + pollRetryDelay
 			return
 		}
@@ -224,6 +259,7 @@
 		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs))
 	}
 	w.polled = true
+	w.confirmedAddress = w.Address
 	w.polledAt = now
 	w.clockMS, w.clockReadAt = response.ClockMS, now
 	c.updateUsable(now, w)
@@ -245,15 +281,25 @@
 	case pj.RefusedStaleFence:
 		c.depose(w, "look")
 	case pj.RefusedIncarnation:
-		for _, v := range w.runs {
-			c.end(v, pj.EndWorkerLost, v.checkpoint)
-		}
-		c.removeWorker(w, "another worker answers at its address", func(error) {})
+		c.replacedAtAddress(now, w)
 	default:
 		w.unhealthyUntil = now + unhealthyBackoff
 	}
 }
 
+// replacedAtAddress handles the answer of another worker at a worker's address. If this leader has reached the worker there,
+// its process has ended, and so have its runs. Else the address may be wrong, and the runs go on until their leases expire.
+func (c *Controller) replacedAtAddress(now time.Duration, w *worker) {
+	if w.confirmedAddress != w.Address && len(w.runs) > 0 {
+		w.unhealthyUntil = now + unhealthyBackoff
+		return
+	}
+	for _, v := range w.runs {
+		c.end(v, pj.EndWorkerLost, v.checkpoint)
+	}
+	c.removeWorker(w, "another worker answers at its address", func(error) {})
+}
+
 // depose stops all orders after a worker has refused one because of a newer term.
 func (c *Controller) depose(w *worker, order string) {
 	if !c.deposed {
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -58,7 +58,7 @@
 	for i := range workerCount {
 		id := fmt.Sprintf("w%d", i)
 		workers = append(workers, pj.PolledWorker{
-			ID: id, Incarnation: 1, Sequence: 1, Pool: "pool", Address: id + ":1", Zone: zoneOf(i), Rack: "r1", Capacity: pj.NewResources(8, 64, 0, 0),
+			ID: id, Incarnation: 1, Sequence: 1, Pool: "pool", Address: "127.0.0.1:1", Zone: zoneOf(i), Rack: "r1", Capacity: pj.NewResources(8, 64, 0, 0),
 		})
 	}
 	s.workers = workers
--- a/workerapi.go
+++ b/workerapi.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
 )
 
 // PolledWorker is a worker that the leader polls at the worker's address, as opposed to one that sends
@@ -27,11 +31,68 @@
 // SameAs reports whether two announcements of a worker are equal except for their sequence and the
 // remaining time.
 func (w *PolledWorker) SameAs(o *PolledWorker) bool {
-	a, b := *w, *o
-	a.Sequence, b.Sequence = 0, 0
-	a.RemainingMS, b.RemainingMS = 0, 0
-	a.Labels, b.Labels = nil, nil
-	return fmt.Sprint(a, w.Labels) == fmt.Sprint(b, o.Labels)
+	return w.Incarnation == o.Incarnation && w.Draining == o.Draining && w.SameDescription(o)
+}
+
+// SameDescription reports whether two announcements of a worker agree in all that stays the same while
+// an incarnation lasts.
+func (w *PolledWorker) SameDescription(o *PolledWorker) bool {
+	return w.ID == o.ID && w.Pool == o.Pool && w.Address == o.Address && w.Zone == o.Zone && w.Rack == o.Rack &&
+		w.Capacity == o.Capacity && slices.Equal(w.Labels, o.Labels)
+}
+
+// Limits of a worker's announcement. Sums over more workers than any fleet has stay within an int64.
+const (
+	MaxWorkerCapacity = int64(1) << 40 // in each dimension of Resources
+	MaxCounter        = int64(1) << 53 // of sequences, clocks and times in milliseconds: the largest integer that all JSON libraries keep exact
+	maxWorkerName     = 256            // bytes of an id, a pool, an availability zone or a label
+	maxWorkerLabels   = 64
+)
+
+// Check returns an error if the announcement can't describe a worker that exists.
+func (w *PolledWorker) Check() error {
+	for name, value := range map[string]string{"id": w.ID, "pool": w.Pool, "zone": w.Zone} {
+		if value == "" || !isWorkerName(value) {
+			return Refuse(CodeBadRequest, "worker %.80q: %s %.80q is empty, too long or has control characters", w.ID, name, value)
+		}
+	}
+	if err := checkWorkerAddress(w.Address); err != nil {
+		return Refuse(CodeBadRequest, "worker %s: %v", w.ID, err)
+	}
+	if len(w.Labels) > maxWorkerLabels || slices.ContainsFunc(w.Labels, func(label string) bool { return !isWorkerName(label) }) {
+		return Refuse(CodeBadRequest, "worker %s: more than %d labels, or one that is too long or has control characters", w.ID, maxWorkerLabels)
+	}
+	for d, amount := range w.Capacity {
+		if amount < 0 || amount > MaxWorkerCapacity {
+			return Refuse(CodeBadRequest, "worker %s: capacity %d in dimension %d is not from 0 to %d", w.ID, amount, d, MaxWorkerCapacity)
+		}
+	}
+	if w.Capacity.IsZero() {
+		return Refuse(CodeBadRequest, "worker %s has no capacity", w.ID)
+	}
+	for name, value := range map[string]int64{"incarnation": w.Incarnation, "sequence": w.Sequence, "remaining time": w.RemainingMS} {
+		if value < 0 || value > MaxCounter {
+			return Refuse(CodeBadRequest, "worker %s: %s %d is not from 0 to %d", w.ID, name, value, MaxCounter)
+		}
+	}
+	return nil
+}
+
+// isWorkerName reports whether a text is short enough and can be sent in a header.
+func isWorkerName(text string) bool {
+	return len(text) <= maxWorkerName && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
+// checkWorkerAddress returns an error unless the address is the IP and port of one machine.
+func checkWorkerAddress(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("address %.80q is not an IP and port: %w", address, err)
+	}
+	if ip := parsed.Addr(); parsed.Port() == 0 || ip.Zone() != "" || ip.IsUnspecified() || ip.IsMulticast() {
+		return fmt.Errorf("nobody can be called at address %s", address)
+	}
+	return nil
 }
 
 // StartRequest is the request that starts a run on a worker.
--- a/workflow.go
+++ b/workflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -72,12 +73,14 @@
 	return w.StartAtMS + int64(occurrence)*w.IntervalMS
 }
 
-// Maxima of an accepted workflow.
+// Maxima of an accepted workflow. The state of each task of each occurrence is held in memory.
 const (
 	MaxSpecBytes   = 4000
 	MaxSteps       = 64
 	MaxStepTasks   = 4096
 	MaxOccurrences = 10000
+	MaxTasks       = 1 << 16                // of all steps and occurrences
+	MaxDurationMS  = 366 * 24 * 3600 * 1000 // of an estimate and of the interval between occurrences
 )
 
 // Check returns an error if the workflow can't be accepted.
@@ -87,13 +90,20 @@
 		return Refuse(CodeTooLarge, "the spec has %d bytes, at most %d are allowed", len(w.Spec), MaxSpecBytes)
 	case len(w.Steps) == 0 || len(w.Steps) > MaxSteps:
 		return Refuse(CodeBadRequest, "a workflow has 1 to %d steps, not %d", MaxSteps, len(w.Steps))
-	case w.ScheduledOccurrences < 0 || w.ScheduledOccurrences > MaxOccurrences || w.IntervalMS < 0:
-		return Refuse(CodeBadRequest, "times must be 0 to %d and the interval at least 0", MaxOccurrences)
+	case w.ScheduledOccurrences < 0 || w.ScheduledOccurrences > MaxOccurrences || w.IntervalMS < 0 || w.IntervalMS > MaxDurationMS:
+		return Refuse(CodeBadRequest, "times must be 0 to %d and the interval 0 to %d ms", MaxOccurrences, int64(MaxDurationMS))
+	case w.StartAtMS < 0 || w.StartAtMS > MaxCounter:
+		return Refuse(CodeBadRequest, "the start time %d is not a Unix time in milliseconds", w.StartAtMS)
 	}
+	tasks := 0
 	for i := range w.Steps {
 		if err := w.Steps[i].check(i); err != nil {
 			return err
 		}
+		tasks += w.Steps[i].Tasks
+	}
+	if tasks > MaxTasks/w.Occurrences() {
+		return Refuse(CodeTooLarge, "a workflow has at most %d tasks, not %d in each of %d occurrences", MaxTasks, tasks, w.Occurrences())
 	}
 	return nil
 }
@@ -105,6 +115,15 @@
 	if !(Resources{}).Fits(s.Task) {
 		return Refuse(CodeBadRequest, "step %d: the resources of a task must not be negative", index)
 	}
+	if slices.Max(s.Task[:]) > MaxWorkerCapacity {
+		return Refuse(CodeBadRequest, "step %d: a task needs more than any worker has", index)
+	}
+	if s.EstimateMS < 0 || s.EstimateMS > MaxDurationMS {
+		return Refuse(CodeBadRequest, "step %d: the estimate must be 0 to %d ms", index, int64(MaxDurationMS))
+	}
+	if len(s.DependsOn) > index {
+		return Refuse(CodeBadRequest, "step %d names %d steps that it depends on, more than there are before it", index, len(s.DependsOn))
+	}
 	if s.MaxTasksPerWorker < 0 || s.MaxUnavailable < 0 {
 		return Refuse(CodeBadRequest, "step %d: anti_affinity and max_unavailable must be at least 0", index)
 	}
