--- a/endpoint.go
+++ b/endpoint.go
@@ -51,6 +51,6 @@
 // GrantRelease returns the slot of a grant and reports the outcome of the request.
 type GrantRelease struct {
 	ID        string `json:"id"`
-	LatencyMS int64  `json:"latency_ms"`
+	LatencyMS int64  `json:"latency_ms"` // 0 if the request was not sent, so that nothing is known of the endpoint
 	Failed    bool   `json:"failed,omitempty"`
 }
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -170,25 +170,25 @@
 	}
 }
 
-func (a *App) client() (*entry.Client, func()) {
-	return entry.New(strings.Split(a.entryAddresses, ","), a.key, entry.WithTLS(a.tlsConfig()))
-}
-
 // withClient calls run with a client that is closed afterwards.
 func (a *App) withClient(run func(client *entry.Client) error) error {
-	client, closeClient := a.client()
+	tlsConfig, err := a.tlsConfig()
+	if err != nil {
+		return err
+	}
+	client, closeClient := entry.New(strings.Split(a.entryAddresses, ","), a.key, entry.WithTLS(tlsConfig))
 	defer closeClient()
 	return run(client)
 }
 
-// tlsConfig returns nil for plain HTTP. If the TLS files can't be read, it prints the error and returns
-// nil too; the first call to a VM that requires TLS then fails.
-func (a *App) tlsConfig() *tls.Config {
+// tlsConfig returns nil for plain HTTP. If the TLS files can't be read it returns an error, because the key must not be sent
+// without encryption then.
+func (a *App) tlsConfig() (*tls.Config, error) {
 	config, err := peer.TLS(a.tls)
 	if err != nil {
-		a.printError(err)
+		return nil, fmt.Errorf("prepare TLS: %w", err)
 	}
-	return config
+	return config, nil
 }
 
 // singleArg returns the argument of a command that takes exactly one; name is for the error text.
--- a/internal/client/command/loadtest.go
+++ b/internal/client/command/loadtest.go
@@ -59,12 +59,16 @@
 	l.errorCounts = make(map[string]int)
 	l.errorSamples = make(map[string]string)
 	addresses := strings.Split(l.app.entryAddresses, ",")
+	tlsConfig, err := l.app.tlsConfig()
+	if err != nil {
+		return err
+	}
 	numbers := make(chan int)
 	started := time.Now()
 	var senders sync.WaitGroup
 	for i := range max(l.parallel, 1) {
 		rotated := slices.Concat(addresses[i%len(addresses):], addresses[:i%len(addresses)])
-		client, closeClient := entry.New(rotated, l.app.key, entry.WithTLS(l.app.tlsConfig()))
+		client, closeClient := entry.New(rotated, l.app.key, entry.WithTLS(tlsConfig))
 		defer closeClient()
 		senders.Add(1)
 		go func() {
--- a/internal/client/command/standin.go
+++ b/internal/client/command/standin.go
@@ -31,7 +31,9 @@
 				return err
 			}
 			options.VMs = s.VMs
-			options.TLS = a.tlsConfig()
+			if options.TLS, err = a.tlsConfig(); err != nil {
+				return err
+			}
 			options.Capacity = pj.NewResources(cores, memory, 0, 0)
 			f, closeFleet, err := fleet.New(options)
 			if err != nil {
--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -86,6 +86,11 @@
 // a VM that can't be reached, and from one that reports the work as not run because the VM is
 // draining, has no quorum or can't verify keys.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	return c.callWith(ctx, method, path, in, out, true)
+}
+
+// callWith is like call; without idempotent, a call whose response was lost is not sent again.
+func (c *Client) callWith(ctx context.Context, method, path string, in, out any, idempotent bool) error {
 	var body []byte
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -94,7 +99,7 @@
 		}
 		body = data
 	}
-	response, err := c.sendWithFailover(ctx, method, path, "application/json", body, true)
+	response, err := c.sendWithFailover(ctx, method, path, "application/json", body, idempotent)
 	if err != nil {
 		return err
 	}
@@ -185,10 +190,13 @@
 		return Response{}, fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = httpResponse.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("read response: %w", err)
 	}
+	if len(data) > maxResponseBytes {
+		return Response{}, fmt.Errorf("the response is larger than %d bytes", maxResponseBytes)
+	}
 	response := Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: data}
 	if httpResponse.StatusCode < http.StatusBadRequest {
 		return response, nil
@@ -261,9 +269,10 @@
 	return c.call(ctx, http.MethodPost, "/v1/drains", d, nil)
 }
 
-// GrantKey issues a key for a workspace.
+// GrantKey issues a key for a workspace. It is not idempotent: if the response is lost, a key may exist whose secret
+// nobody has received.
 func (c *Client) GrantKey(ctx context.Context, k pj.IssuedKey) (issued pj.IssuedKey, err error) {
-	return issued, c.call(ctx, http.MethodPost, keysPath(k.Workspace), k, &issued)
+	return issued, c.callWith(ctx, http.MethodPost, keysPath(k.Workspace), k, &issued, false)
 }
 
 // WithdrawKey withdraws a key, which then stops being accepted.
--- a/internal/client/entry/entry_test.go
+++ b/internal/client/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -62,3 +63,55 @@
 		})
 	}
 }
+
+// TestGrantKeyIsSentOnce: a key may have been issued although the response was lost, so the call is not sent to another VM,
+// where it would issue a second one.
+func TestGrantKeyIsSentOnce(t *testing.T) {
+	tests := map[string]struct {
+		first http.HandlerFunc
+		calls int
+	}{
+		"response lost": {first: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, calls: 1},
+		"not run": {first: func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(pj.Refuse(pj.CodeDraining, ""))
+		}, calls: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int64
+			var addresses []string
+			for _, handler := range []http.HandlerFunc{tc.first, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }} {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					calls.Add(1)
+					handler(w, r)
+				}))
+				defer server.Close()
+				addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+			}
+			client, closeClient := entry.New(addresses, "")
+			defer closeClient()
+			_, err := client.GrantKey(t.Context(), pj.IssuedKey{})
+			is.Equal(err == nil, tc.calls == 2)
+			is.Equal(int(calls.Load()), tc.calls)
+			is.True(err == nil || !pj.AsError(err).NotRun)
+		})
+	}
+}
+
+// TestTooLargeResponse: a response that is longer than the client reads is an error, not a shorter response.
+func TestTooLargeResponse(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		chunk := make([]byte, 1<<20)
+		for range 65 {
+			_, _ = w.Write(chunk)
+		}
+	}))
+	defer server.Close()
+	client, closeClient := entry.New([]string{strings.TrimPrefix(server.URL, "http://")}, "")
+	defer closeClient()
+	_, err := client.Request(t.Context(), "q", nil)
+	is.True(err != nil)
+}
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -28,7 +28,11 @@
 			return
 		}
 		result, ok := r.Value.(cell.SubmitResult)
-		if !ok || result.Err != nil {
+		switch {
+		case !ok:
+			done(pj.JobStatus{}, pj.Fail(pj.CodeInternal, "the submission of job %s has no result", job.ID))
+			return
+		case result.Err != nil:
 			done(pj.JobStatus{}, result.Err)
 			return
 		}
--- a/internal/control/coordinator/testbed_test.go
+++ b/internal/control/coordinator/testbed_test.go
@@ -146,8 +146,12 @@
 	}
 	b.term++
 	b.group = &fakeGroup{testbed: b, serving: true}
-	b.leader = coordinator.New(coordinator.Options{
-		Zone: "z", Term: b.term, State: b.state, Group: b.group, Clock: b, Rand: b, Events: b,
+	b.leader = b.newLeader(b.group)
+}
+
+func (b *testbed) newLeader(group coordinator.Group) *coordinator.Coordinator {
+	return coordinator.New(coordinator.Options{
+		Zone: "z", Term: b.term, State: b.state, Group: group, Clock: b, Rand: b, Events: b,
 		UnixMilli: func() int64 { return b.now.Milliseconds() },
 		Config:    func() pj.Configuration { return b.config },
 	})
--- a/internal/control/fairness/fairness.go
+++ b/internal/control/fairness/fairness.go
@@ -51,18 +51,20 @@
 	return l.capacity
 }
 
-// SetWeight sets a workspace's weight; a weight that is not positive is replaced by 1.
+// SetWeight sets a workspace's weight. A weight that is not positive withdraws it, as for a workspace that was deleted:
+// what still runs for the workspace counts with weight 1, and its weight no longer lowers the fair share of the others.
 func (l *Ledger) SetWeight(workspace string, weight float64) {
-	if weight <= 0 {
-		weight = 1
-	}
 	a := l.account(workspace)
-	if a.weightSet {
-		l.totalWeight -= a.weight
+	a.weight, a.weightSet = weight, weight > 0
+	if !a.weightSet {
+		a.weight = 1
+	}
+	l.totalWeight = 0
+	for _, other := range l.accounts {
+		if other.weightSet {
+			l.totalWeight += other.weight
+		}
 	}
-	a.weight = weight
-	a.weightSet = true
-	l.totalWeight += weight
 }
 
 // WithinFairShare reports whether the workspace's usage is below its fair share: the fraction of the
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -184,16 +184,58 @@
 	}
 }
 
-// simCell is a cell in allotmentSim: its committed state and its current usage.
+// simCell is a cell in allotmentSim: its committed state, in which tasks run, and the slots in use.
 type simCell struct {
 	name        string
 	state       *cell.State
 	index       uint64
-	usage       pj.Resources
+	running     []pj.AttemptID
+	slotsUsed   int64
+	jobs        int
 	partitioned bool
 	replies     []pj.AllotmentReply // not committed yet
 }
 
+func (c *simCell) apply(command cell.Command) any {
+	data, err := json.Marshal(command)
+	if err != nil {
+		panic(err)
+	}
+	c.index++
+	return c.state.Apply(c.index, data)
+}
+
+// usage returns what the workspace's tasks and requests use.
+func (c *simCell) usage() pj.Resources {
+	usage := c.state.Reserved("a")
+	usage[pj.Slots] = c.slotsUsed
+	return usage
+}
+
+// start starts a task if the cell's allotment permits it.
+func (c *simCell) start(amount pj.Resources) {
+	c.jobs++
+	id := fmt.Sprintf("%s.%d", c.name, c.jobs)
+	c.apply(cell.Command{Submit: &pj.Job{ID: id, Workspace: "a", Tasks: 1, MaxAttempts: 1}})
+	attempt := pj.AttemptID{Job: id, Number: 1}
+	if accepted, _ := c.apply(cell.Command{Start: []cell.StartAttempt{{Attempt: attempt, Worker: "w", Reservation: amount}}}).([]bool); accepted[0] {
+		c.running = append(c.running, attempt)
+	}
+}
+
+// end ends the task that has run longest.
+func (c *simCell) end() {
+	if len(c.running) > 0 {
+		c.apply(cell.Command{End: []cell.EndAttempt{{Attempt: c.running[0], Phase: pj.PhaseFinished}}})
+		c.running = c.running[1:]
+	}
+}
+
+// useSlots sends requests up to the given number of slots, as far as the allotment permits.
+func (c *simCell) useSlots(n int64) {
+	c.slotsUsed = min(n, c.state.Allotment("a").Value[pj.Slots])
+}
+
 // allotmentSim simulates the exchange of allotment reports and replies between the fleet leader and the cells.
 type allotmentSim struct {
 	now     time.Duration
@@ -219,7 +261,7 @@
 		return
 	}
 	s.planner.HandleReport(s.now, pj.AllotmentReport{Cell: c.name, Term: 1, Full: true, Demands: []pj.CellDemand{{
-		Committed: c.state.Allotment("a"), Usage: c.usage, Waiting: waiting,
+		Committed: c.state.Allotment("a"), Usage: c.usage(), Waiting: waiting,
 	}}})
 	confirmations, changes := s.planner.Plan(s.now, s.state)
 	if len(confirmations) > 0 {
@@ -236,15 +278,7 @@
 		return
 	}
 	for _, target := range c.replies[i].Targets {
-		c.index++
-		data, err := json.Marshal(cell.Command{Allot: []cell.AllotmentCommit{{Allotment: target, SlotsUsed: c.usage[pj.Slots]}}})
-		if err != nil {
-			panic(err)
-		}
-		before := c.state.Allotment("a").Value
-		c.state.Apply(c.index, data)
-		// In a cell, running jobs keep their resources allotted. The simulation has no jobs; it caps the usage instead.
-		c.usage = c.usage.Min(before.Max(c.state.Allotment("a").Value))
+		c.apply(cell.Command{Allot: []cell.AllotmentCommit{{Allotment: target, SlotsUsed: c.slotsUsed}}})
 	}
 	c.replies = append(c.replies[:i], c.replies[i+1:]...)
 }
@@ -257,15 +291,25 @@
 	return sum
 }
 
-// TestInvariantUpperLimit divides a limit among the cells under partitions, late, repeated and reordered replies
-// and changes of the fleet leader, and checks that the allotments of all cells together never exceed the limit.
+// usage returns what all cells use together.
+func (s *allotmentSim) usage() pj.Resources {
+	var sum pj.Resources
+	for _, c := range s.cells {
+		sum = sum.Add(c.usage())
+	}
+	return sum
+}
+
+// TestInvariantUpperLimit divides a limit among the cells while tasks start and end in them, under partitions, late, repeated
+// and reordered replies and changes of the fleet leader, and checks that the allotments of all cells together never exceed
+// the limit, and that no cell uses more than its allotment.
 func TestInvariantUpperLimit(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newAllotmentSim()
 		for range rapid.IntRange(20, 200).Draw(rt, "steps") {
 			c := s.cells[rapid.IntRange(0, 2).Draw(rt, "cell")]
 			s.now += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond
-			switch rapid.IntRange(0, 6).Draw(rt, "action") {
+			switch rapid.IntRange(0, 9).Draw(rt, "action") {
 			case 0, 1, 2:
 				s.report(c, pj.NewResources(float64(rapid.IntRange(0, 120).Draw(rt, "cores")), 10, 0, int64(rapid.IntRange(0, 40).Draw(rt, "slots"))))
 			case 3, 4:
@@ -274,15 +318,28 @@
 				c.partitioned = !c.partitioned
 			case 6:
 				s.planner = fleet.NewPlanner([]string{"x", "y", "z"})
+			case 7:
+				c.start(pj.NewResources(float64(rapid.IntRange(1, 20).Draw(rt, "task")), 1, 0, 0))
+			case 8:
+				c.end()
+			case 9:
+				c.useSlots(int64(rapid.IntRange(0, 40).Draw(rt, "used")))
 			}
 			if total := s.total(); !total.Fits(limit) {
 				rt.Fatalf("the cells may use %v, the limit is %v", total, limit)
 			}
+			if !c.usage().Fits(c.state.Allotment("a").Value) {
+				rt.Fatalf("cell %s uses %v of %v", c.name, c.usage(), c.state.Allotment("a").Value)
+			}
 		}
 		// After the partition heals, the only cell with demand gets nearly the whole limit.
 		for _, c := range s.cells {
 			c.partitioned = false
 			c.replies = nil
+			c.slotsUsed = 0
+			for len(c.running) > 0 {
+				c.end()
+			}
 		}
 		for range 40 {
 			s.now += time.Second
@@ -351,7 +408,8 @@
 	}
 }
 
-// TestLoweredLimit lowers a limit while a cell is partitioned.
+// TestLoweredLimit lowers a limit while a cell is partitioned and while tasks use most of it: they keep what they use, no task
+// starts beyond the lowered limit, and their end frees the rest.
 func TestLoweredLimit(t *testing.T) {
 	is := is.New(t)
 	s := newAllotmentSim()
@@ -378,4 +436,22 @@
 	s.cells[2].replies = nil
 	settle()
 	is.True(s.total().Fits(lowered))
+
+	for _, c := range s.cells {
+		c.start(c.state.Allotment("a").Value.Min(pj.NewResources(1000, 1000, 0, 0)))
+	}
+	used := s.usage()
+	is.True(used[pj.Cores] > lowered[pj.Cores]*9/10)
+	lowest := pj.NewResources(10, 10, 0, 3)
+	publish(s.state, 2, "three", lowest)
+	settle()
+	is.Equal(s.usage()[pj.Cores], used[pj.Cores])
+	is.True(s.total()[pj.Cores] >= used[pj.Cores])
+	s.cells[0].start(pj.NewResources(1, 1, 0, 0))
+	is.Equal(s.usage()[pj.Cores], used[pj.Cores])
+	for _, c := range s.cells {
+		c.end()
+	}
+	settle()
+	is.True(s.total().Fits(lowest))
 }
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -34,6 +34,7 @@
 	ErrTransferring  = errors.New("a leadership transfer is in progress")
 	ErrChangePending = errors.New("a membership change is still pending")
 	ErrNoSuchMember  = errors.New("no such member")
+	ErrNotCaughtUp   = errors.New("the member lacks entries")
 )
 
 type role uint8
--- a/internal/control/quorum/membership.go
+++ b/internal/control/quorum/membership.go
@@ -32,6 +32,21 @@
 	return nil
 }
 
+// CheckEntries returns an error if one of the entries is a membership that can't be decoded. A member that passed over
+// it would count other voters than the rest of the group.
+func CheckEntries(entries []pj.LogEntry) error {
+	for _, e := range entries {
+		var m pj.Membership
+		if e.Kind != pj.EntryMembership {
+			continue
+		}
+		if err := json.Unmarshal(e.Data, &m); err != nil {
+			return fmt.Errorf("decode membership in entry %d: %w", e.Index, err)
+		}
+	}
+	return nil
+}
+
 // AddLearner adds a member without a vote.
 func (c *Core) AddLearner(now time.Duration, id string) error {
 	next := c.membershipWithout(id)
@@ -41,8 +56,11 @@
 
 // Promote makes a learner a voter. The learner must be caught up.
 func (c *Core) Promote(now time.Duration, id string) error {
-	if !c.CaughtUp(id) {
+	switch {
+	case c.peers[id] == nil:
 		return ErrNoSuchMember
+	case !c.CaughtUp(id):
+		return ErrNotCaughtUp
 	}
 	next := c.membershipWithout(id)
 	next.Voters = append(next.Voters, id)
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -143,6 +143,9 @@
 		c.send(reply)
 		return
 	}
+	if CheckEntries(m.Entries) != nil {
+		return // without an answer the leader sends them again
+	}
 	replaced := c.log.appendFromLeader(m.Entries)
 	if replaced || hasMembership(m.Entries) {
 		c.membership = c.log.latestMembership()
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -221,7 +221,8 @@
 			processReady(c, 0)
 			is.NoErr(c.AddLearner(0, other))
 			processReady(c, 0)
-			is.Equal(c.Promote(0, other), quorum.ErrNoSuchMember)
+			is.Equal(c.Promote(0, other), quorum.ErrNotCaughtUp)
+			is.Equal(c.Promote(0, "stranger"), quorum.ErrNoSuchMember)
 			c.Tick(quorum.DefaultHeartbeat)
 			round := lastAppendToOther(t, processReady(c, 0).Immediate).Round
 			ack(c, 0, c.CommitIndex(), round)
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -26,9 +26,11 @@
 // ErrOutcomeUnknown is the result of a proposal whose entry may or may not become committed.
 var ErrOutcomeUnknown = pj.Fail(pj.CodeOutcomeUnknown, "leadership was lost before the command was committed")
 
-// Saver stores writes on another goroutine and calls done on the control goroutine.
+// Saver stores writes on another goroutine and calls done on the control goroutine. After runs a function there after a
+// delay.
 type Saver interface {
 	Save(writes []pj.LogWrite, done func(error))
+	After(delay time.Duration, run func())
 }
 
 // Options configure a Host.
@@ -42,6 +44,7 @@
 	Heartbeat       time.Duration
 	ElectionTimeout time.Duration
 	OnWriteError    func(error) // called when a write has failed or stalled; this VM's members are passive until one succeeds
+	OnSnapshotError func(error) // called when the state can't be encoded; the log then grows until a later snapshot succeeds
 }
 
 // Host runs this VM's members of all groups. All methods must be called on the control goroutine.
@@ -89,6 +92,7 @@
 	snapshotIndex      uint64 // index of the last snapshot
 	snapshotBytes      int    // size of the last snapshot
 	bytesSinceSnapshot int    // bytes of entries applied since the last snapshot
+	nextSnapshot       uint64 // index before which no snapshot is tried, because the last try failed
 	leadership         pj.Leadership
 	serving            bool
 	onLeadershipChange func(serving bool, term uint64)
@@ -121,6 +125,18 @@
 	return g
 }
 
+// Load returns what a store holds of a group, or an error if a member must not start from it.
+func Load(store pj.LogStore, group string) (pj.RecoveredState, error) {
+	recovered, err := store.Load(group)
+	if err != nil {
+		return pj.RecoveredState{}, err
+	}
+	if err := quorum.CheckEntries(recovered.Entries); err != nil {
+		return pj.RecoveredState{}, fmt.Errorf("load group %s: %w", group, err)
+	}
+	return recovered, nil
+}
+
 // Group returns the member of the named group, or nil.
 func (h *Host) Group(name string) *Group {
 	return h.groups[name]
@@ -230,18 +246,7 @@
 		h.options.OnWriteError(fmt.Errorf("store log: %w", err))
 	}
 	h.notifyLeadership()
-	h.scheduleRetry(writes, readyByGroup)
-}
-
-// Retrier is implemented by savers that can run a function on the control goroutine after a delay.
-type Retrier interface {
-	After(delay time.Duration, run func())
-}
-
-func (h *Host) scheduleRetry(writes []pj.LogWrite, readyByGroup map[*Group]quorum.Ready) {
-	if r, ok := h.options.Saver.(Retrier); ok {
-		r.After(writeRetryDelay, func() { h.save(writes, readyByGroup) })
-	}
+	h.options.Saver.After(writeRetryDelay, func() { h.save(writes, readyByGroup) })
 }
 
 func (h *Host) setPassive(passive bool) {
@@ -374,11 +379,15 @@
 // maybeSnapshot snapshots the state and compacts the log if the log has grown enough.
 func (g *Group) maybeSnapshot() {
 	entries := g.applied - g.snapshotIndex
-	if entries < minSnapshotEntries || (entries < maxSnapshotEntries && g.bytesSinceSnapshot < g.snapshotBytes) {
+	if entries < minSnapshotEntries || g.applied < g.nextSnapshot || (entries < maxSnapshotEntries && g.bytesSinceSnapshot < g.snapshotBytes) {
 		return
 	}
 	data, err := g.state.Snapshot()
 	if err != nil {
+		g.nextSnapshot = g.applied + minSnapshotEntries
+		if g.host.options.OnSnapshotError != nil {
+			g.host.options.OnSnapshotError(fmt.Errorf("group %s: snapshot at %d: %w", g.name, g.applied, err))
+		}
 		return
 	}
 	g.core.Compact(g.applied, data, retainedEntries)
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// After implements replica.Retrier.
+// After implements replica.Saver.
 func (d *memoryDisk) After(_ time.Duration, run func()) { d.retry = run }
 
 // testVM is one VM's member of the group.
@@ -362,3 +362,64 @@
 func (c *manualClock) Now() time.Duration {
 	return c.now
 }
+
+// failingState is a replicated state that can't be encoded.
+type failingState struct {
+	commandList
+	snapshots int
+}
+
+func (s *failingState) Snapshot() ([]byte, error) {
+	s.snapshots++
+	return nil, errors.New("not encodable")
+}
+
+// TestSnapshotError: a state that can't be encoded is reported, and the next try waits until the log has grown again. Each
+// applied entry would try otherwise.
+func TestSnapshotError(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Minute}
+	var errs []error
+	host := replica.New(replica.Options{
+		VM: "a", Incarnation: "1", Saver: &memoryDisk{}, Transport: newTestNetwork(), Clock: clock,
+		OnSnapshotError: func(err error) { errs = append(errs, err) },
+	})
+	state := &failingState{}
+	only := pj.RecoveredState{Snapshot: &pj.LogSnapshot{Index: 1, Term: 1, Membership: pj.Membership{Voters: []string{"a/1"}}}}
+	group := host.AddGroup("g", 0, state, only, nil, nil)
+	for range 4500 {
+		clock.now += time.Millisecond
+		host.Tick()
+		group.Commit([]byte("c"), func(pj.CommitResult) {})
+		host.Flush()
+	}
+	is.True(group.Applied() > 4000)
+	is.Equal(state.snapshots, 2)
+	is.Equal(len(errs), 2)
+}
+
+// memoryStore is a pj.LogStore that returns one recovered state.
+type memoryStore struct{ recovered pj.RecoveredState }
+
+func (s memoryStore) Load(string) (pj.RecoveredState, error) { return s.recovered, nil }
+func (s memoryStore) Save([]pj.LogWrite) error               { return nil }
+
+// TestLoad: a member doesn't start from a log with a membership that it can't decode. It would count other voters than the
+// rest of the group.
+func TestLoad(t *testing.T) {
+	tests := map[string]struct {
+		entries []pj.LogEntry
+		valid   bool
+	}{
+		"no entry":             {valid: true},
+		"a command":            {entries: []pj.LogEntry{{Index: 2, Data: []byte("{")}}, valid: true},
+		"a membership":         {entries: []pj.LogEntry{{Index: 2, Kind: pj.EntryMembership, Data: []byte(`{"voters":["a/1"]}`)}}, valid: true},
+		"truncated membership": {entries: []pj.LogEntry{{Index: 2, Kind: pj.EntryMembership, Data: []byte(`{"voters":["a/`)}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := replica.Load(memoryStore{pj.RecoveredState{Entries: tc.entries}}, "g")
+			is.New(t).Equal(err == nil, tc.valid)
+		})
+	}
+}
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -189,9 +189,18 @@
 func (c *Controller) refreshRules() {
 	rules := c.options.State.Rules()
 	c.rulesVersion = rules.Version
+	c.ledger.EachWorkspace(func(name string, _, _ pj.Resources) {
+		if rules.Workspace(name) == nil {
+			c.ledger.SetWeight(name, 0)
+		}
+	})
 	for i := range rules.Workspaces {
 		w := &rules.Workspaces[i]
-		c.ledger.SetWeight(w.Name, w.Share)
+		weight := w.Share
+		if weight <= 0 {
+			weight = 1
+		}
+		c.ledger.SetWeight(w.Name, weight)
 		c.ledger.SetLimit(w.Name, w.Limit)
 	}
 	c.dirty = true
--- a/internal/control/slots/load_test.go
+++ b/internal/control/slots/load_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -67,10 +68,12 @@
 		}
 	}
 	announce()
+	requests := 0
 	request := func(s *stream) {
 		arrived := now
+		requests++
 		service := time.Duration(float64(s.service) * (0.5 + r.Float64()))
-		table.Request(now, s.queue, pj.GrantRequest{Request: "r", Queue: s.queue.Name, WaitMS: 5000}, func(g pj.Grant, err error) {
+		table.Request(now, s.queue, pj.GrantRequest{Request: strconv.Itoa(requests), Queue: s.queue.Name, WaitMS: 5000}, func(g pj.Grant, err error) {
 			if err != nil {
 				s.refused++
 				return
--- a/internal/control/slots/slots.go
+++ b/internal/control/slots/slots.go
@@ -113,6 +113,10 @@
 		reply(pj.Grant{}, overloaded("a request of queue %s would wait for about %v, which is too long for its deadline", q.Name, forecast.Round(time.Millisecond)))
 		return
 	}
+	if earlier := t.waiters[r.Request]; earlier != nil {
+		// The caller has sent the request again because it no longer waits for the reply to the earlier one.
+		t.finish(earlier, pj.Grant{}, pj.Refuse(pj.CodeDeadline, "request %s was sent again", r.Request))
+	}
 	w := &waitingRequest{request: r, arrived: now, deadline: now + wait, reply: reply}
 	wq.waiting = append(wq.waiting, w)
 	wq.waitingCount++
@@ -221,7 +225,7 @@
 	}
 	t.removeGrant(r.ID, g)
 	e := t.endpoints[g.endpoint]
-	if e != nil {
+	if e != nil && r.LatencyMS > 0 {
 		t.recordOutcome(now, e, r)
 	}
 	if wq := t.waitQueues[g.request.Queue]; wq != nil && r.LatencyMS > 0 {
--- a/internal/control/slots/slots_test.go
+++ b/internal/control/slots/slots_test.go
@@ -216,3 +216,52 @@
 		})
 	}
 }
+
+// TestRequestSentAgain: a request that is sent again, because its caller lost the connection, replaces the one that waits. Both
+// would be granted otherwise, and the first could not be withdrawn.
+func TestRequestSentAgain(t *testing.T) {
+	is := is.New(t)
+	b := newTestTable()
+	b.now = time.Second
+	b.announce("e1", 0, false)
+	b.request("quick", 2) // take both slots
+	is.Equal(b.granted(""), 2)
+	replies := make(map[string]error)
+	send := func(attempt string) {
+		b.Request(b.now, queues["quick"], pj.GrantRequest{Request: "again", Queue: "quick", WaitMS: 5000}, func(_ pj.Grant, err error) { replies[attempt] = err })
+	}
+	send("first")
+	send("second")
+	is.True(replies["first"] != nil)
+	b.Abandon(b.now, "quick", "again")
+	is.True(replies["second"] != nil)
+	for _, g := range b.grants {
+		b.Release(b.now, pj.GrantRelease{ID: g.ID, LatencyMS: 10})
+	}
+	is.Equal(b.SlotsUsed("a"), int64(0)) // neither was granted
+}
+
+// TestUnsentGrant: a grant that was returned without a request says nothing of its endpoint. It must not count as a success,
+// which would keep a failing endpoint in use.
+func TestUnsentGrant(t *testing.T) {
+	is := is.New(t)
+	b := newTestTable()
+	b.now = time.Second
+	b.announce("e1", 0, false)
+	release := func(r pj.GrantRelease) {
+		b.request("quick", 1)
+		for id, g := range b.grants {
+			r.ID = g.ID
+			b.Release(b.now, r)
+			delete(b.grants, id)
+		}
+	}
+	for range 3 {
+		release(pj.GrantRelease{LatencyMS: 5, Failed: true})
+		release(pj.GrantRelease{})
+	}
+	b.announce("e2", 0, false)
+	b.request("quick", 2)
+	is.Equal(b.granted("e1"), 0) // ejected after three failures
+	is.Equal(b.granted("e2"), 2)
+}
--- a/internal/server/app/app.go
+++ b/internal/server/app/app.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -52,7 +53,7 @@
 	active   atomic.Int64
 }
 
-// New opens the listeners of all servers and returns an App that is ready to run.
+// New opens the listeners of all servers and returns an App that is ready to run. After an error, none is left open.
 func New(options Options) (*App, error) {
 	a := &App{options: options}
 	kratoslog.SetLogger(options.Logger)
@@ -60,22 +61,28 @@
 		kratos.Name(options.Name), kratos.ID(options.ID), kratos.BeforeStop(a.drain), kratos.StopTimeout(options.GracePeriod),
 	}
 	servers := make([]transport.Server, 0, len(options.Servers))
+	var listeners []net.Listener
 	for _, s := range options.Servers {
-		server, err := a.newServer(s)
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Address)
 		if err != nil {
-			return nil, err
+			return nil, errors.Join(fmt.Errorf("listen on %s: %w", s.Address, err), closeAll(listeners))
 		}
-		servers = append(servers, server)
+		listeners = append(listeners, listener)
+		servers = append(servers, a.newServer(s, listener))
 	}
 	a.kratos = kratos.New(append(kratosOptions, kratos.Server(servers...))...)
 	return a, nil
 }
 
-func (a *App) newServer(s Server) (*khttp.Server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", s.Address, err)
+func closeAll(listeners []net.Listener) error {
+	var errs []error
+	for _, l := range listeners {
+		errs = append(errs, l.Close())
 	}
+	return errors.Join(errs...)
+}
+
+func (a *App) newServer(s Server, listener net.Listener) *khttp.Server {
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Address(s.Address))
 	Harden(server.Server)
 	server.Protocols = new(http.Protocols)
@@ -89,7 +96,7 @@
 	if s.ServesCallers {
 		server.Handler = a.countActive(s.Handler)
 	}
-	return server, nil
+	return server
 }
 
 // Harden limits the time and the memory that a connection may use before its request headers are complete. It
--- a/internal/server/app/app_test.go
+++ b/internal/server/app/app_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/matryer/is"
 )
 
@@ -33,3 +34,23 @@
 		is.NoErr(response.Body.Close())
 	}
 }
+
+// TestFailedStart: if one of the addresses is in use, the listeners that were opened before it are closed again.
+func TestFailedStart(t *testing.T) {
+	is := is.New(t)
+	listen := func(address string) (net.Listener, error) {
+		return (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
+	}
+	taken, err := listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	free, err := listen("127.0.0.1:0")
+	is.NoErr(err)
+	address := free.Addr().String()
+	is.NoErr(free.Close())
+	_, err = New(Options{Logger: kratoslog.DefaultLogger, Servers: []Server{{Address: address}, {Address: taken.Addr().String()}}})
+	is.True(err != nil)
+	again, err := listen(address)
+	is.NoErr(err)
+	is.NoErr(again.Close())
+}
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -27,7 +27,7 @@
 
 // Durations and limits of a VM.
 const (
-	syncInterval   = 400 * time.Millisecond  // between two requests for newer rules
+	syncInterval   = 400 * time.Millisecond  // between two requests for newer rules; shorter if their lease is short
 	attemptTimeout = 500 * time.Millisecond  // of one attempt to call the leader; calls are idempotent and retried
 	callTimeout    = 2500 * time.Millisecond // of a call to the leader, with all its attempts
 	maxFinalStates = 4096                    // final workflow states that an entry caches
@@ -194,7 +194,7 @@
 
 // runSyncLoop fetches newer rules from the leader at regular intervals until ctx ends.
 func (v *VM) runSyncLoop(ctx context.Context) {
-	ticker := time.NewTicker(syncInterval)
+	ticker := time.NewTicker(syncIntervalFor(v.options.MaxRulesDelay))
 	defer ticker.Stop()
 	lost := true
 	for {
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -49,7 +49,7 @@
 // runMember starts this VM's member of the group: from the state on its disk, or as an initial member of a new group, or
 // else empty, to receive the state from the leader. Then it requests to join whenever it is not a voter.
 func (r *replica) runMember(ctx context.Context) {
-	recovered, err := r.store.Load(Group)
+	recovered, err := control.Load(r.store, Group)
 	if err != nil {
 		r.vm.log("group_unreadable", "err", err)
 		return // a VM that can't read its log must not take part in the group
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	mrand "math/rand/v2"
 	"time"
@@ -62,14 +63,15 @@
 	}
 	r.store = store
 	if r.incarnation, err = store.Incarnation(newIncarnation()); err != nil {
-		return nil, nil, fmt.Errorf("read incarnation of data directory: %w", err)
+		return nil, nil, errors.Join(fmt.Errorf("read incarnation of data directory: %w", err), closeStore())
 	}
 	writer, closeSaver := saver.New(store, r.loop, v.options.Metrics)
 	r.loadMeter = &loadMeter{replica: r, store: store, saver: writer}
 	r.host = control.New(control.Options{
 		VM: v.options.Address, Incarnation: r.incarnation, Saver: writer, Transport: v.transport, Clock: v.clock,
 		Rand: newRand(), Heartbeat: heartbeatInterval, ElectionTimeout: electionTimeout,
-		OnWriteError: func(err error) { v.log("disk_write_failed", "err", err) },
+		OnWriteError:    func(err error) { v.log("disk_write_failed", "err", err) },
+		OnSnapshotError: func(err error) { v.log("snapshot_failed", "err", err) },
 	})
 	return r, func() {
 		<-r.loop.Done() // after which the control goroutine can't write any more
--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -73,7 +74,7 @@
 	set := metrics.NewSet()
 	n, closeNode, err := node.New(s, logger, set)
 	if err != nil {
-		return nil, nil, fmt.Errorf("start control plane: %w", err)
+		return nil, nil, errors.Join(fmt.Errorf("start control plane: %w", err), listener.Close())
 	}
 	a, closeAPI := api.New(s, n, logger, set)
 	d := &Daemon{settings: s, logger: logger, node: n, api: a}
--- a/internal/server/leaderclient/client.go
+++ b/internal/server/leaderclient/client.go
@@ -106,11 +106,11 @@
 }
 
 // finalError returns the error of a call that ends because of err. If err is a *pj.Error, its NotRun is cleared when
-// an earlier attempt may have had an effect.
+// an earlier attempt may have had an effect. Any other err leaves the outcome unknown: the response may have been lost.
 func (a *attempts) finalError(err error) error {
 	var e *pj.Error
 	if !errors.As(err, &e) {
-		return pj.Refuse(pj.CodeNotLeader, "the leader of %s was lost", a.group)
+		return pj.Fail(pj.CodeOutcomeUnknown, "the leader of %s was lost: %v", a.group, err)
 	}
 	if a.maybeExecuted {
 		return pj.ClearNotRun(err)
--- a/internal/server/node/groups.go
+++ b/internal/server/node/groups.go
@@ -62,7 +62,7 @@
 // once all VMs of the group have responded that they have not started it; or, if one of them has started it, empty, so
 // that the leader sends the state.
 func (n *Node) joinGroup(ctx context.Context, group string, rank int) {
-	recovered, err := n.store.Load(group)
+	recovered, err := replica.Load(n.store, group)
 	if err != nil {
 		n.log("event", "group_unreadable", "group", group, "err", err)
 		return // without a readable log this VM must not vote
--- a/internal/server/node/node.go
+++ b/internal/server/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	mrand "math/rand/v2"
 	"sync"
@@ -87,7 +88,8 @@
 	n.host = replica.New(replica.Options{
 		VM: s.VM, Incarnation: n.incarnation, Saver: writer, Transport: transport, Clock: clock,
 		Rand: newRand(), Heartbeat: heartbeatInterval, ElectionTimeout: electionTimeout,
-		OnWriteError: func(err error) { n.log("event", "disk_write_failed", "err", err) },
+		OnWriteError:    func(err error) { n.log("event", "disk_write_failed", "err", err) },
+		OnSnapshotError: func(err error) { n.log("event", "snapshot_failed", "err", err) },
 	})
 	n.fleet = newFleetMember(n)
 	n.operations = n.newOperations()
@@ -159,8 +161,10 @@
 		return nil, err
 	}
 	n.store = store
-	n.incarnation, err = store.Incarnation(proposed)
-	return closeStore, err
+	if n.incarnation, err = store.Incarnation(proposed); err != nil {
+		return nil, errors.Join(err, closeStore())
+	}
+	return closeStore, nil
 }
 
 func newIncarnation() string {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -42,6 +42,7 @@
 	jobs       map[string]*job
 	started    map[string]bool // workflows of which a worker has accepted a start
 	published  int64           // latest ruleset version that was acknowledged
+	submitters sync.WaitGroup  // calls of submit that have not returned
 	violations []string
 }
 
@@ -164,7 +165,7 @@
 		cancel := l.rand.IntN(cancelOneIn) == 0
 		earlier := jobID(1 + l.rand.IntN(n))
 		l.mu.Unlock()
-		go l.submit(context.WithoutCancel(ctx), jobID(n), cancel)
+		l.submitters.Go(func() { l.submit(context.WithoutCancel(ctx), jobID(n), cancel) })
 		go l.checkState(context.WithoutCancel(ctx), earlier)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -51,7 +51,11 @@
 	go l.publishRulesets(ctx)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Duration-coolDown)
 	defer stopLoad()
-	go l.submitJobs(loadCtx)
+	submitting := make(chan struct{})
+	go func() {
+		defer close(submitting)
+		l.submitJobs(loadCtx)
+	}()
 
 	started := time.Now()
 	var faults sync.WaitGroup
@@ -65,6 +69,7 @@
 		}()
 	}
 	faults.Wait()
+	<-submitting
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -113,6 +118,7 @@
 // awaitJobs waits until every accepted job is in a final state or the timeout is over, and records violations of all jobs.
 // With a timeout of 0 it waits without limit.
 func (l *load) awaitJobs(ctx context.Context, timeout time.Duration, out io.Writer) {
+	l.submitters.Wait() // a job that is accepted late must end, too
 	start := time.Now()
 	unfinished := l.unfinishedJobs(ctx)
 	for len(unfinished) > 0 && (timeout == 0 || time.Since(start) < timeout) {
--- a/internal/storage/saver/saver.go
+++ b/internal/storage/saver/saver.go
@@ -58,7 +58,7 @@
 	s.queue <- batch{writes: writes, done: done}
 }
 
-// After implements replica.Retrier.
+// After implements replica.Saver.
 func (s *Saver) After(wait time.Duration, run func()) {
 	s.loop.After(wait, run)
 }
