Runs: passes leave time for events, and advice queries no longer sort the fleet

A pass costs more the more work waits, and the pause after it followed the worker visits only, of which queries for advice counted none although each sorted all 1,100 workers. So polls and commits waited for passes and the backlog stayed.

Change: the pause after a pass is at least four times what the pass took, up to 50 ms as before; a query keeps the workers with most capacity while it visits all, starting at another worker each time; a pass reuses its list of workers.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -11,6 +11,7 @@
 // Limits and weights of advice queries.
 const (
 	maxQueryWorkers     = 30                     // workers in one query
+	queryStride         = 31                     // workers from the one that a query considers first to that of the next query
 	minQueryWorkers     = 12                     // workers in a first query, if there are so many
 	extraQueryCost      = 0.35                   // fraction of the fixed decision time that the workers of a query may add; a query is extended up to this
 	oversampling        = 1.6                    // factor by which a query names more workers than the step is expected to need
@@ -216,31 +217,51 @@
 // queryCandidates returns workers to query for a number of tasks: those with the most available capacity among those
 // not queried yet.
 func (p *pass) queryCandidates(ts *taskSet, tasks int) []string {
-	type workerCapacity struct {
-		id       string
-		capacity int
-	}
-	var candidates []workerCapacity
-	avoided := p.c.quarantine.AvoidedWorkers(ts.id.Workflow)
-	for _, w := range p.workers {
-		if ts.queried[w.ID] || !ts.matches(w, avoided) {
-			continue
+	most := p.roomiest(ts, p.queryWidth(ts, tasks))
+	names := make([]string, 0, len(most))
+	for _, cand := range most {
+		if len(ts.queried) > 0 && cand.capacity == 0 && !ts.spec.Gang {
+			break // a further query is only worth its cost for workers that could start a task now
 		}
-		candidates = append(candidates, workerCapacity{id: w.ID, capacity: ts.amount.FitCount(p.available(w))})
+		names = append(names, cand.worker.ID)
 	}
-	slices.SortFunc(candidates, func(a, b workerCapacity) int { return b.capacity - a.capacity })
+	return names
+}
+
+// queryWidth returns how many workers a query for a number of tasks names.
+func (p *pass) queryWidth(ts *taskSet, tasks int) int {
 	allowed := p.c.allowedShare(ts.record.Workflow.Queue)
 	want := max(minQueryWorkers, int(math.Ceil(float64(tasks)*oversampling/allowed)))
 	if policy := ts.record.Workflow.Advice; policy.PerWorkerMS > 0 {
 		want = max(want, int(extraQueryCost*policy.DecisionMS/policy.PerWorkerMS))
 	}
-	want = min(want, maxQueryWorkers, len(candidates))
-	names := make([]string, 0, want)
-	for _, cand := range candidates[:want] {
-		if len(ts.queried) > 0 && cand.capacity == 0 && !ts.spec.Gang {
-			break // a further query is only worth its cost for workers that could start a task now
+	return min(want, maxQueryWorkers)
+}
+
+// roomiest returns up to n workers that were not queried yet, in descending order of the number of tasks that they could start
+// now. It keeps only the n best while it visits all, because sorting them would take several times as long in a large fleet.
+func (p *pass) roomiest(ts *taskSet, n int) []candidate {
+	most := make([]candidate, 0, n+1)
+	avoided := p.c.quarantine.AvoidedWorkers(ts.id.Workflow)
+	p.visits += len(p.workers)
+	p.c.queryOffset += queryStride
+	for i := range p.workers {
+		w := p.workers[(p.c.queryOffset+i)%len(p.workers)]
+		capacity := ts.amount.FitCount(p.available(w))
+		if len(most) == n && capacity <= most[n-1].capacity {
+			continue
 		}
-		names = append(names, cand.id)
+		if ts.queried[w.ID] || !ts.matches(w, avoided) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(most, capacity, func(c candidate, capacity int) int {
+			if c.capacity >= capacity {
+				return -1
+			}
+			return 1
+		})
+		most = slices.Insert(most, at, candidate{worker: w, capacity: capacity})
+		most = most[:min(len(most), n)]
 	}
-	return names
+	return most
 }
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -92,9 +92,11 @@
 	batch batch
 	dirty bool // something changed since the last scheduling pass
 
-	passes     uint64        // number of scheduling passes so far
-	nextPassAt time.Duration // when the next pass may run
-	prunedAt   time.Duration
+	passes      uint64        // number of scheduling passes so far
+	passWorkers []*worker     // memory for the workers of the next pass
+	nextPassAt  time.Duration // when the next pass may run
+	queryOffset int           // the worker that the next query considers first, so that queries name different ones among equals
+	prunedAt    time.Duration
 }
 
 // batch collects what the next command commits.
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -13,10 +13,16 @@
 	"papayajunction/internal/control/workflow"
 )
 
-// clock is a clock that tests advance.
-type clock struct{ now time.Duration }
+// clock is a clock that tests advance. Each reading takes some time, by default none.
+type clock struct {
+	now     time.Duration
+	reading time.Duration
+}
 
-func (c *clock) Now() time.Duration { return c.now }
+func (c *clock) Now() time.Duration {
+	c.now += c.reading
+	return c.now
+}
 
 // group commits commands at once, or while paused queues them until resume.
 type group struct {
--- a/internal/control/runs/pass.go
+++ b/internal/control/runs/pass.go
@@ -25,13 +25,14 @@
 
 func (c *Controller) newPass(now time.Duration) *pass {
 	c.passes++
-	p := &pass{c: c, now: now, number: c.passes, blockedBy: make(map[string]*taskSet)}
+	p := &pass{c: c, now: now, number: c.passes, workers: c.passWorkers[:0], blockedBy: make(map[string]*taskSet)}
 	for _, w := range c.sortedWorkers {
 		if w.schedulable(now) {
 			w.eligibleIn = p.number
 			p.workers = append(p.workers, w)
 		}
 	}
+	c.passWorkers = p.workers
 	return p
 }
 
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -9,10 +9,12 @@
 	pj "papayajunction"
 )
 
-// Limits of a scheduling pass.
+// Limits of a scheduling pass. A pass costs more the more work waits. Without a pause that grows with its cost, a backlog
+// takes the time of the events that would end it.
 const (
 	maxTaskSetsPerPass = 400  // task sets that one pass considers
-	visitsPerMS        = 1000 // worker visits per millisecond of delay of the next pass: a visit takes 50 ns, so passes take a twentieth of the time
+	visitsPerMS        = 1000 // worker visits per millisecond of pause after a pass
+	passPause          = 4    // least pause after a pass, as a multiple of the time that it took: passes take a fifth of the time
 	maxPassInterval    = 50 * time.Millisecond
 )
 
@@ -29,7 +31,9 @@
 			c.dequeue(ts)
 		}
 	}
-	c.nextPassAt = now + min(time.Duration(p.visits/visitsPerMS)*time.Millisecond, maxPassInterval)
+	ended := c.options.Clock.Now()
+	pause := max(time.Duration(p.visits/visitsPerMS)*time.Millisecond, passPause*(ended-now))
+	c.nextPassAt = ended + min(pause, maxPassInterval)
 }
 
 // rankedSet is a task set with its sort keys in one pass.
