Event log: one frequent event no longer pushes out the others

Cause: at an election the leader of 1,100 workers writes a worker_heard and a worker_usable line for each, and thousands of run lines a second after; the limit of 600 lines a second then dropped whatever came, the load lines among them. Change: at most 100 lines of one event in a second, and once a second a line for each event that says how many were dropped. Before: TestFrequentEvent finds no load line. After: it does.

--- a/internal/server/eventlog/eventlog.go
+++ b/internal/server/eventlog/eventlog.go
@@ -5,6 +5,8 @@
 import (
 	"bytes"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,7 @@
 	maxBufferBytes    = 256 << 10              // maximum size of the buffered lines
 	flushInterval     = 100 * time.Millisecond // lines are written in batches
 	maxLinesPerSecond = 600                    // further lines of the same second are dropped
+	maxLinesPerEvent  = 100                    // per second, so that one frequent event leaves room for the others
 )
 
 // Log is a kitlog.Logger with a bounded buffer. It is safe for use by many goroutines.
@@ -30,14 +33,18 @@
 	encoder         kitlog.Logger
 	currentSecond   int64
 	linesThisSecond int
-	unreportedDrops int // lines dropped since the last log_lines_dropped event
+	linesByEvent    map[string]int // in the current second
+	dropsByEvent    map[string]int // lines dropped since the last log_lines_dropped event
 	wake            chan struct{}
 }
 
 // New returns a log and a function that writes the buffered lines and closes it. With quiet, the log discards all lines
 // without counting them.
 func New(out io.Writer, set *metrics.Set, quiet bool) (*Log, func()) {
-	l := &Log{dropped: set.GetOrCreateCounter("papaya_log_lines_dropped_total"), quiet: quiet, wake: make(chan struct{}, 1)}
+	l := &Log{
+		dropped: set.GetOrCreateCounter("papaya_log_lines_dropped_total"), quiet: quiet, wake: make(chan struct{}, 1),
+		linesByEvent: make(map[string]int), dropsByEvent: make(map[string]int),
+	}
 	l.encoder = kitlog.NewLogfmtLogger(&l.buffer)
 	done := make(chan struct{})
 	stopped := make(chan struct{})
@@ -51,31 +58,29 @@
 	}
 }
 
-// Log buffers a line, or drops it if the buffer is full or the rate limit is reached.
+// Log buffers a line, or drops it if the buffer is full or a rate limit is reached. Dropped lines are reported once a second.
 func (l *Log) Log(keyvals ...any) error {
 	if l.quiet {
 		return nil
 	}
 	now := time.Now()
+	event := eventOf(keyvals)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Unix() != l.currentSecond {
-		l.currentSecond = now.Unix()
-		l.linesThisSecond = 0
+		if err := l.reportDrops(now); err != nil {
+			return err
+		}
+		l.currentSecond, l.linesThisSecond = now.Unix(), 0
+		clear(l.linesByEvent)
 	}
-	if l.linesThisSecond >= maxLinesPerSecond || l.buffer.Len() > maxBufferBytes {
-		l.unreportedDrops++
+	if l.linesThisSecond >= maxLinesPerSecond || l.linesByEvent[event] >= maxLinesPerEvent || l.buffer.Len() > maxBufferBytes {
+		l.dropsByEvent[event]++
 		l.dropped.Inc()
 		return nil
 	}
 	l.linesThisSecond++
-	if l.unreportedDrops > 0 {
-		dropped := l.unreportedDrops
-		l.unreportedDrops = 0
-		if err := l.encoder.Log("ts", now.UTC().Format(timeFormat), "event", "log_lines_dropped", "count", dropped); err != nil {
-			return err
-		}
-	}
+	l.linesByEvent[event]++
 	if l.buffer.Len() == 0 {
 		select {
 		case l.wake <- struct{}{}:
@@ -85,6 +90,28 @@
 	return l.encoder.Log(append([]any{"ts", now.UTC().Format(timeFormat)}, keyvals...)...)
 }
 
+// eventOf returns the value of the key event, which names the kind of a line.
+func eventOf(keyvals []any) string {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == "event" {
+			name, _ := keyvals[i+1].(string)
+			return name
+		}
+	}
+	return ""
+}
+
+// reportDrops writes how many lines of each event were dropped since the last report.
+func (l *Log) reportDrops(now time.Time) error {
+	for _, event := range slices.Sorted(maps.Keys(l.dropsByEvent)) {
+		if err := l.encoder.Log("ts", now.UTC().Format(timeFormat), "event", "log_lines_dropped", "of", event, "count", l.dropsByEvent[event]); err != nil {
+			return err
+		}
+	}
+	clear(l.dropsByEvent)
+	return nil
+}
+
 // timeFormat includes milliseconds, so that lines of several VMs can be sorted by time.
 const timeFormat = "2006-01-02T15:04:05.000Z"
 
--- a/internal/server/eventlog/eventlog_test.go
+++ b/internal/server/eventlog/eventlog_test.go
@@ -48,3 +48,19 @@
 	is.True(strings.HasPrefix(lines[0], "ts=") && strings.HasSuffix(lines[0], " event=a n=1"))
 	is.True(strings.HasSuffix(lines[1], ` event=b text="two words"`))
 }
+
+// TestFrequentEvent: an event with thousands of lines in a second, such as each worker's first answer to a new leader, must not
+// push the lines of other events out of the log.
+func TestFrequentEvent(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, closeLog := eventlog.New(&out, metrics.NewSet(), false)
+	for range 2000 {
+		is.NoErr(log.Log("vm", "a", "event", "frequent"))
+		is.NoErr(log.Log("vm", "a", "event", "also_frequent"))
+	}
+	is.NoErr(log.Log("vm", "a", "event", "load"))
+	closeLog()
+	is.True(strings.Contains(out.String(), "event=load"))
+	is.True(strings.Count(out.String(), "event=frequent") < 2000)
+}
