--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -235,8 +235,7 @@
 		return err
 	case <-v.leaderChanged:
 		cancel()
-		<-done
-		return errLeaderChanged
+		return errors.Join(errLeaderChanged, <-done)
 	}
 }
 
--- a/internal/server/leaderclient/client_test.go
+++ b/internal/server/leaderclient/client_test.go
@@ -61,3 +61,49 @@
 		})
 	}
 }
+
+// TestLostLeader: after the leader was lost, one call waits for it in vain. The calls after it try the other members first, until
+// the leader responds again or nobody else does.
+func TestLostLeader(t *testing.T) {
+	is := is.New(t)
+	lost := errors.New("no response")
+	clock := &clock{}
+	var client leaderclient.Client
+	client.SetLeader("g", "a")
+	leader, alive := "a", map[string]bool{"b": true, "c": true}
+	call := func() (tried []string) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		_, _ = client.Do(ctx, leaderclient.Call{
+			Group: "g", Members: []string{"a", "b", "c"}, Clock: clock,
+			Run: func(_ context.Context, vm string) error {
+				tried = append(tried, vm)
+				if len(tried) == 4 {
+					cancel()
+				}
+				switch {
+				case !alive[vm]:
+					return lost
+				case vm == leader:
+					return nil
+				}
+				e := pj.Refuse(pj.CodeNotLeader, "VM %s does not lead", vm)
+				if alive[leader] {
+					e.Leader = leader
+				}
+				return e
+			},
+		})
+		return tried
+	}
+	is.Equal(call(), []string{"a", "b", "c", "b"}) // no other leader is elected yet
+	leader = "c"
+	is.Equal(call(), []string{"b", "c"}) // the lost leader isn't tried again
+	is.Equal(call(), []string{"c"})
+	leader, alive["a"], alive["b"], alive["c"] = "a", true, false, false
+	is.Equal(call(), []string{"c", "b", "a"}) // the others don't respond, so the suspect is tried
+	is.Equal(call(), []string{"a"})
+	clock.now += time.Minute
+	leader, alive["b"], alive["c"] = "b", true, true
+	is.Equal(call(), []string{"a", "b"})
+}
