Runs: lost answers are noticed sooner, and an open start is cleared up beside the poll in flight

A poll whose answer is lost was given up after 2.5 s, so the ends of all runs there came late; and a start order without an answer was looked into only when the poll in flight returned, and again after each lost answer: 4.9 to 7.5 s until the task ran again. Change: a worker that left a poll or an order unanswered is polled with a wait of 0.25 s for 10 s; while the outcome of a start is unknown, the worker is polled beside the poll in flight, without a wait; orders are given up after 0.6 s (0.9), polls 0.7 s (1.0) after their wait.

Tests: TestUnansweredStartIsClearedUpAtOnce, TestUnansweredStartThatRuns, TestLossyWorker.

--- /dev/null
+++ b/internal/control/runs/loss_test.go
@@ -0,0 +1,80 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	pj "papayajunction"
+)
+
+// TestUnansweredStartIsClearedUpAtOnce guards against work that waits for a poll: while the outcome of a start order was unknown, the
+// leader looked only when the poll in flight returned, which took up to 2.5 s if its answer was lost, too. It must poll beside
+// it, stop the run, and start the task again as soon as the worker is known not to have it.
+func TestUnansweredStartIsClearedUpAtOnce(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	x.advance(100 * time.Millisecond)
+	held := x.orders.take("poll")
+	x.is.Equal(len(held), 1) // the worker holds it, and its answer will be lost
+	x.is.True(held[0].poll.MaxWait > 0)
+	start.answer(errNoAnswer)
+	unanswered := x.clock.now
+	var again []*order
+	for len(again) == 0 && x.clock.now < unanswered+time.Second {
+		for _, o := range x.orders.take("poll") {
+			x.is.Equal(o.poll.MaxWait, time.Duration(0))
+			o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
+		}
+		for _, o := range x.orders.take("stop") {
+			x.is.Equal(o.run, start.run)
+			o.answer(nil)
+		}
+		x.advance(20 * time.Millisecond)
+		again = x.orders.take("start")
+	}
+	x.is.Equal(len(again), 1)
+	x.is.Equal(again[0].run.Run, 2)
+	x.is.True(x.clock.now <= unanswered+300*time.Millisecond)
+}
+
+// TestUnansweredStartThatRuns: the poll beside the one in flight may show that the worker has the run, which then goes on.
+func TestUnansweredStartThatRuns(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	x.advance(100 * time.Millisecond)
+	x.orders.take("poll")
+	start.answer(errNoAnswer)
+	x.answerPolls(map[string]pj.PollResponse{"w0": {Running: []pj.RunStatus{{Run: start.run, Progress: 1}}}})
+	x.advance(300 * time.Millisecond)
+	x.is.Equal(len(x.orders.take("poll")), 0) // the outcome is known: no more polls beside the one in flight
+	x.is.Equal(len(x.orders.take("stop")), 0)
+	x.is.Equal(len(x.orders.take("start")), 0)
+}
+
+// TestLossyWorker: a worker that left a poll unanswered is polled with a short wait for some time, so that the next lost answer
+// hides the ends of its runs for less long.
+func TestLossyWorker(t *testing.T) {
+	x := newCell(t, 1)
+	wait := func() time.Duration {
+		for range 20 {
+			x.advance(50 * time.Millisecond)
+			if polls := x.orders.take("poll"); len(polls) > 0 {
+				polls[0].answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
+				return polls[0].poll.MaxWait
+			}
+		}
+		return -1
+	}
+	usual := wait()
+	x.advance(50 * time.Millisecond)
+	x.orders.take("poll")[0].answerPoll(pj.PollResponse{}, errNoAnswer)
+	lossy := wait()
+	x.is.True(lossy > 0 && lossy < usual/2)
+	x.is.Equal(wait(), lossy)
+	for end := x.clock.now + 12*time.Second; x.clock.now < end; {
+		wait()
+	}
+	x.is.Equal(wait(), usual)
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -111,9 +111,11 @@
 	var refused *pj.RefusedError
 	if !errors.As(err, &refused) {
 		v.unanswered = true
+		v.worker.unansweredAt = max(now, 1)
 		c.options.Events.Record("start_unanswered", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "err", err)
 		v.worker.nextPollAt = 0
 		c.poll(v.worker)
+		c.probe(v.worker)
 		return
 	}
 	c.options.Events.Record("start_refused", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "reason", refused.Reason)
@@ -165,6 +167,10 @@
 		switch {
 		case err == nil:
 			c.resolveStart(v, false) // the worker will refuse a start order that is still in transit
+			if v.unanswered {
+				v.worker.nextProbeAt = 0
+				c.probe(v.worker)
+			}
 		case errors.As(err, &refused) && refused.Reason == pj.RefusedStaleFence:
 			c.depose(v.worker, "stop")
 		}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -13,6 +13,9 @@
 // Intervals and timeouts of polls and orders.
 const (
 	pollWait           = 1500 * time.Millisecond // long poll: how long a worker may delay its answer
+	lossyPollWait      = 250 * time.Millisecond  // the same for a worker that has left something unanswered within lossMemory: what a lost answer would tell is known sooner
+	lossMemory         = 10 * time.Second
+	probeInterval      = 100 * time.Millisecond  // between two polls that a worker answers at once, while the outcome of a start order there is unknown
 	minPollInterval    = 40 * time.Millisecond   // ends in between are reported together
 	pollRetryDelay     = 250 * time.Millisecond  // after a poll without an answer
 	unresponsiveAfter  = 1900 * time.Millisecond // without an answer for this long, a worker receives no new task
@@ -33,6 +36,10 @@
 	usable  bool
 	removed bool // no longer in Controller.workers
 	polling bool
+	probing bool // a poll that is answered at once is in flight
+
+	unansweredAt time.Duration // when a poll or an order there last got no answer; 0 if none did
+	nextProbeAt  time.Duration
 
 	described         int64         // incarnation that announced the worker's description; tasks start only while it is the current one
 	confirmedAddress  string        // address at which it last answered a poll of this leader
@@ -219,14 +226,44 @@
 	w.nextPollAt = now + minPollInterval
 	request := pj.PollRequest{Fence: c.options.Term, Ack: w.acked}
 	if w.polled {
-		request.MaxWait = pollWait
-		if now <= w.polledAt+leaseRenewalWindow {
-			request.LeaseUntilMS = c.grantLease(now, w)
-		}
+		request.MaxWait = w.pollWait(now)
+		request.LeaseUntilMS = c.renewedLease(now, w)
+	}
+	c.sendPoll(now, w, request, &w.polling)
+}
+
+// pollWait returns how long the worker may delay its answer to a poll.
+func (w *worker) pollWait(now time.Duration) time.Duration {
+	if w.unansweredAt != 0 && now < w.unansweredAt+lossMemory {
+		return lossyPollWait
+	}
+	return pollWait
+}
+
+// renewedLease returns the end of the lease that a poll renews, or 0 if it must not be renewed.
+func (c *Controller) renewedLease(now time.Duration, w *worker) int64 {
+	if now > w.polledAt+leaseRenewalWindow {
+		return 0
+	}
+	return c.grantLease(now, w)
+}
+
+// probe polls a worker that must answer at once, beside a poll that may be in flight.
+func (c *Controller) probe(w *worker) {
+	now := c.options.Clock.Now()
+	if w.probing || !w.polled || w.Address == "" || now < w.nextProbeAt || c.deposed || !c.options.Group.Serving() {
+		return
 	}
+	w.probing, w.nextProbeAt = true, now+probeInterval
+	request := pj.PollRequest{Fence: c.options.Term, Ack: w.acked, LeaseUntilMS: c.renewedLease(now, w)}
+	c.sendPoll(now, w, request, &w.probing)
+}
+
+// sendPoll sends a poll and handles its answer. inFlight is reset once the outcome is known.
+func (c *Controller) sendPoll(now time.Duration, w *worker, request pj.PollRequest, inFlight *bool) {
 	incarnation := w.Incarnation
 	c.options.Orders.Poll(w.PolledWorker, request, func(response pj.PollResponse, err error) {
-		w.polling = false
+		*inFlight = false
 		if c.closed || c.workers[w.ID] != w {
 			return
 		}
@@ -239,6 +276,16 @@
 	})
 }
 
+// hasOpenStart reports whether a start order for the worker got no answer, and its outcome is still unknown.
+func (w *worker) hasOpenStart() bool {
+	for _, v := range w.runs {
+		if v.unanswered && v.resolvedAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // handlePollResponse handles the answer to a poll that was sent at the given time.
 func (c *Controller) handlePollResponse(w *worker, sent time.Duration, response pj.PollResponse, err error) {
 	now := c.options.Clock.Now()
@@ -274,6 +321,7 @@
 	w.nextPollAt = now + pollRetryDelay
 	var refused *pj.RefusedError
 	if !errors.As(err, &refused) {
+		w.unansweredAt = max(now, 1)
 		c.options.Events.Count("look_unanswered")
 		return
 	}
@@ -394,6 +442,9 @@
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		c.updateUsable(now, w)
 		c.poll(w)
+		if w.hasOpenStart() {
+			c.probe(w)
+		}
 		exited := w.leftAt != 0 && now >= w.leftAt+exitDelay && w.leftAt > c.electedAt
 		if exited || (now > w.polledAt+unresponsiveAfter && c.leaseExpired(now, w)) {
 			c.evict(now, w)
--- a/internal/server/cluster/orders.go
+++ b/internal/server/cluster/orders.go
@@ -11,8 +11,8 @@
 
 // Timeouts of calls to workers.
 const (
-	orderTimeout = 900 * time.Millisecond
-	pollSlack    = time.Second            // added to the time for which a worker may hold a poll open
+	orderTimeout = 600 * time.Millisecond
+	pollSlack    = 700 * time.Millisecond // added to the time for which a worker may hold a poll open
 	adviseSlack  = 200 * time.Millisecond // added to the policy's own timeout, for the call to the VM that queries it
 )
 
