Rule cache: a process that has just started has no confirmed rules

In the first second after a restart a replica therefore counted as current, with the state from its disk and no contact to the leader: it answered queries and acknowledged announcements from it, so a worker that had left meanwhile was acknowledged as known. Change: without a confirmation since the start of the process, the time since the last one is the longest there is. Before: the new row of TestIsCurrent, with the clock soon after the start, fails. After: it passes.

--- a/internal/control/rulecache/rulecache.go
+++ b/internal/control/rulecache/rulecache.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"sync"
 	"time"
 
@@ -23,7 +24,8 @@
 	mu          sync.RWMutex
 	rules       *pj.Ruleset
 	leaseUntil  time.Duration
-	confirmedAt time.Duration // when the last request that confirmed the rules was sent
+	confirmed   bool          // a request has confirmed the rules since the process started
+	confirmedAt time.Duration // when the last request that did so was sent
 }
 
 // New returns an empty cache. Each lease lasts for the given duration, or for DefaultLease if that is 0.
@@ -51,6 +53,7 @@
 		changed = true
 	}
 	if c.rules.Version >= version {
+		c.confirmed = true
 		c.confirmedAt = max(c.confirmedAt, requestedAt)
 		c.leaseUntil = max(c.leaseUntil, requestedAt+c.lease)
 	}
@@ -74,9 +77,13 @@
 	return e
 }
 
-// SinceConfirmed returns the time since this VM sent the last request that confirmed its rules.
+// SinceConfirmed returns the time since this VM sent the last request that confirmed its rules, or the longest time if none has
+// since the process started.
 func (c *Cache) SinceConfirmed() time.Duration {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
+	if !c.confirmed {
+		return math.MaxInt64
+	}
 	return c.clock.Now() - c.confirmedAt
 }
--- a/internal/server/cluster/read_replica_test.go
+++ b/internal/server/cluster/read_replica_test.go
@@ -29,16 +29,18 @@
 		started       bool
 		leaderApplied uint64 // index, at the last sync
 		syncAge       time.Duration
+		neverSynced   bool // the process has just started, with its state from the disk
 		current       bool
 	}{
 		"all entries applied, recent sync":     {started: true, leaderApplied: 7, current: true},
 		"applied index is behind the leader's": {started: true, leaderApplied: 8},
 		"last sync is too old":                 {started: true, leaderApplied: 7, syncAge: maxReplicaStaleness + 1},
+		"no sync since the process started":    {started: true, neverSynced: true},
 		"member has not started yet":           {leaderApplied: 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			clock := &fixedClock{now: time.Minute}
+			clock := &fixedClock{now: 200 * time.Millisecond} // the clock starts at zero with the process
 			v := &VM{clock: clock, ruleCache: rulecache.New(clock, 0), options: Options{Metrics: metrics.NewSet()}}
 			r := &replica{vm: v, state: workflow.NewState()}
 			if test.started {
@@ -47,8 +49,10 @@
 				r.group = host.AddGroup(Group, 0, r.state, pj.RecoveredState{Snapshot: snapshot}, nil, nil)
 				host.Flush()
 			}
-			v.ruleCache.Update(clock.now, 0, nil)
-			v.updateGroupInfo(syncReply{Applied: test.leaderApplied})
+			if !test.neverSynced {
+				v.ruleCache.Update(clock.now, 0, nil)
+				v.updateGroupInfo(syncReply{Applied: test.leaderApplied})
+			}
 			clock.now += test.syncAge
 			is.New(t).Equal(r.isCurrent(), test.current)
 		})
