Smaller faults noted during the work on wording

- api: without a key, a long poll for a job of a closed queue was held until the job ended, then refused; it is refused at once (row in TestBadInput, which took the whole wait before).
That an unknown job is told from another's without a key stays: ids are random, and callers of open queues need the answer.
- papayacell: invalid settings logged reload_failed every 2 s; now once for each new error and each signal.
- ruleset: two spaces in a message; two queues without a name at one place were not found only by luck of that space.

--- a/cmd/papayacell/main.go
+++ b/cmd/papayacell/main.go
@@ -130,6 +130,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	ticker := time.NewTicker(reloadInterval)
+	lastErr := ""
 	for {
 		signalled := false
 		select {
@@ -139,9 +140,13 @@
 		}
 		s, err := settings.ParseCluster(args)
 		if err != nil {
-			_ = logger.Log("event", "reload_failed", "err", err)
+			if signalled || err.Error() != lastErr {
+				_ = logger.Log("event", "reload_failed", "err", err)
+			}
+			lastErr = err.Error()
 			continue
 		}
+		lastErr = ""
 		previous := current.Swap(&s)
 		if signalled || fmt.Sprint(previous.Seeds) != fmt.Sprint(s.Seeds) {
 			_ = logger.Log("event", "reloaded", "signal", signalled, "seeds", fmt.Sprint(s.Seeds))
--- a/internal/server/api/callers.go
+++ b/internal/server/api/callers.go
@@ -177,10 +177,13 @@
 		return
 	}
 	id := r.PathValue("id")
-	st, err := a.waitJob(r.Context(), id, workspace, wait)
-	if err == nil && workspace == "" {
-		err = a.requireOpenQueue(st)
+	if workspace == "" {
+		if err := a.requireOpenQueue(r.Context(), id); err != nil {
+			writeError(w, err)
+			return
+		}
 	}
+	st, err := a.waitJob(r.Context(), id, workspace, wait)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -188,8 +191,13 @@
 	writeJSON(w, http.StatusOK, st)
 }
 
-func (a *API) requireOpenQueue(st pj.JobStatus) error {
-	if q := a.node.Directory().Configuration().Queues[st.Queue]; !q.Open {
+// requireOpenQueue returns an error unless the job is one of an open queue.
+func (a *API) requireOpenQueue(ctx context.Context, id string) error {
+	st, err := a.node.Job(ctx, id, "", 0)
+	if err != nil {
+		return err
+	}
+	if !a.node.Directory().Configuration().Queues[st.Queue].Open {
 		return pj.Refuse(pj.CodeNoKey, "send the workspace's key as Authorization: Bearer KEY")
 	}
 	return nil
@@ -233,11 +241,7 @@
 		return
 	}
 	if workspace == "" {
-		st, err := a.node.Job(r.Context(), id, "", 0)
-		if err == nil {
-			err = a.requireOpenQueue(st)
-		}
-		if err != nil {
+		if err := a.requireOpenQueue(r.Context(), id); err != nil {
 			writeError(w, err)
 			return
 		}
--- a/internal/server/daemon/daemon_test.go
+++ b/internal/server/daemon/daemon_test.go
@@ -215,6 +215,7 @@
 		"a job to a queue for requests":              {http.MethodPut, "/v1/jobs/zone-1.abcd", `{"queue": "quick"}`, "", 400, pj.CodeBadRequest},
 		"an unknown job":                             {http.MethodGet, "/v1/jobs/zone-1.none", "", "", 404, pj.CodeUnknownJob},
 		"another workspace's job":                    {http.MethodGet, "/v1/jobs/zone-1.warm", "", "", 401, pj.CodeNoKey},
+		"waiting for another workspace's job":        {http.MethodGet, "/v1/jobs/zone-1.warm?wait=1h", "", "", 401, pj.CodeNoKey}, // at once
 		"cancelling another workspace's job":         {http.MethodDelete, "/v1/jobs/zone-1.warm", "", "", 401, pj.CodeNoKey},
 		"a wait that is no duration":                 {http.MethodGet, "/v1/jobs/zone-1.warm?wait=soon", "", issued.Secret, 400, pj.CodeBadRequest},
 		"a report under another worker's name":       {http.MethodPost, "/v1/workers/w1/report", `{"worker": "w2"}`, "", 400, pj.CodeBadRequest},
--- a/ruleset.go
+++ b/ruleset.go
@@ -66,15 +66,16 @@
 	queueOf := make(map[[2]string]string) // by host and path prefix
 	for _, route := range r.Routes {
 		location := [2]string{route.Host, route.PathPrefix}
+		other, taken := queueOf[location]
 		switch {
 		case !pools[route.Pool]:
 			return Refuse(CodeBadRequest, "queue %s names the unknown pool %q", route.Name, route.Pool)
-		case queueOf[location] != "":
-			return Refuse(CodeBadRequest, "queues %s and %s share host and prefix", queueOf[location], route.Name)
+		case taken:
+			return Refuse(CodeBadRequest, "queues %s and %s share host and prefix", other, route.Name)
 		case route.TimeoutMS <= 0:
 			return Refuse(CodeBadRequest, "queue %s has no timeout", route.Name)
 		}
-		queueOf[location] = route.Name + " "
+		queueOf[location] = route.Name
 	}
 	owners := make(map[string]string)
 	for _, workspace := range r.Workspaces {
