Runs: wide gangs ask for all their tickets at once, and urgent work leaves them their workers

While its tickets were renewed urgent work took its workers, and it began anew. Change: a gang sends up to four queries at once, to different VMs, and waits for all; workers that a gang waits for tickets of are marked for the time of the query, and others start there only where no other worker has room.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -11,6 +11,7 @@
 // Limits and weights of advice queries.
 const (
 	maxQueryWorkers     = 30                     // workers in one query
+	maxGangQueries      = 4                      // queries of one gang in flight
 	queryStride         = 31                     // workers from the one that a query considers first to that of the next query
 	minQueryWorkers     = 12                     // workers in a first query, if there are so many
 	extraQueryCost      = 0.35                   // fraction of the fixed decision time that the workers of a query may add; a query is extended up to this
@@ -133,14 +134,16 @@
 		return
 	}
 	a.busyUntil = max(a.busyUntil, now) + cost
-	ts.querying = true
 	incarnations := make(map[string]int64, len(workers))
 	for _, id := range workers {
 		incarnations[id] = c.workers[id].Incarnation
+		ts.querying[id] = struct{}{}
 	}
 	expected := a.busyUntil
 	c.options.Orders.Advise(a.vm, ts.id, workers, expected-now+queryTimeoutMargin, func(answer pj.Advice, err error) {
-		ts.querying = false
+		for id := range incarnations {
+			delete(ts.querying, id)
+		}
 		c.dirty = true
 		if c.closed {
 			return
@@ -216,8 +219,8 @@
 
 // queryCandidates returns workers to query for a number of tasks: those with the most available capacity among those
 // not queried yet.
-func (p *pass) queryCandidates(ts *taskSet, tasks int) []string {
-	most := p.roomiest(ts, p.queryWidth(ts, tasks))
+func (p *pass) queryCandidates(ts *taskSet, tasks, maxWorkers int) []string {
+	most := p.roomiest(ts, min(p.queryWidth(ts, tasks), maxWorkers))
 	names := make([]string, 0, len(most))
 	for _, cand := range most {
 		if len(ts.queried) > 0 && cand.capacity == 0 && !ts.spec.Gang {
@@ -228,14 +231,14 @@
 	return names
 }
 
-// queryWidth returns how many workers a query for a number of tasks names.
+// queryWidth returns how many workers should be queried for a number of tasks.
 func (p *pass) queryWidth(ts *taskSet, tasks int) int {
 	allowed := p.c.allowedShare(ts.record.Workflow.Queue)
 	want := max(minQueryWorkers, int(math.Ceil(float64(tasks)*oversampling/allowed)))
 	if policy := ts.record.Workflow.Advice; policy.PerWorkerMS > 0 {
 		want = max(want, int(extraQueryCost*policy.DecisionMS/policy.PerWorkerMS))
 	}
-	return min(want, maxQueryWorkers)
+	return want
 }
 
 // roomiest returns up to n workers that were not queried yet, in descending order of the number of tasks that they could start
--- a/internal/control/runs/gang.go
+++ b/internal/control/runs/gang.go
@@ -3,12 +3,16 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	pj "papayajunction"
 )
 
-// maxClaimingGangs is how many gangs may claim capacity in one pass while they wait for more.
-const maxClaimingGangs = 3
+// Limits of gangs that wait.
+const (
+	maxClaimingGangs = 3                      // gangs that may claim capacity in one pass while they wait for more
+	earmarkMargin    = 200 * time.Millisecond // added to the time that the policy takes, for the way of the query and of its answer
+)
 
 // scheduleGang starts all tasks of a gang, or claims the capacity available for it.
 func (p *pass) scheduleGang(ts *taskSet) {
@@ -38,11 +42,21 @@
 	if len(chosen) < n || !withinLimit {
 		expired = nil // renewed tickets would expire again before the gang can start
 	} else {
+		p.earmark(ts, chosen)
 		p.addAlternatives(ts, expired)
 	}
 	p.requestTickets(ts, expired, n-len(chosen))
 }
 
+// earmark marks the workers on which a gang will start once its tickets are renewed. Other work, even if more urgent, starts there
+// only if no other worker has room: each start there would make the gang begin anew.
+func (p *pass) earmark(ts *taskSet, workers []*worker) {
+	until := p.now + ts.queryCost(maxQueryWorkers) + earmarkMargin
+	for _, w := range workers {
+		w.earmarkedFor, w.earmarkedUntil = ts, until
+	}
+}
+
 // withoutValidTicket returns those of the workers for which the task set has no valid ticket. Without a policy there are none.
 func (p *pass) withoutValidTicket(ts *taskSet, workers []*worker) map[string]struct{} {
 	expired := make(map[string]struct{})
@@ -98,7 +112,7 @@
 // the chosen workers before the answer arrives.
 func (p *pass) addAlternatives(ts *taskSet, query map[string]struct{}) {
 	for w, t := range p.eligible(ts) {
-		if len(query) >= maxQueryWorkers {
+		if len(query) >= maxQueryWorkers*maxGangQueries {
 			return
 		}
 		if !t.valid(p.now) && p.capacityFor(w, ts) > 0 {
--- a/internal/control/runs/load.go
+++ b/internal/control/runs/load.go
@@ -18,7 +18,7 @@
 	for _, ts := range c.ready {
 		l.WaitingTasks += len(ts.pending)
 		l.OldestWait = max(l.OldestWait, now-ts.readySince)
-		if ts.querying {
+		if len(ts.querying) > 0 {
 			l.AwaitingAdvice++
 		}
 	}
--- a/internal/control/runs/pass.go
+++ b/internal/control/runs/pass.go
@@ -94,6 +94,10 @@
 	}
 }
 
+// earmarkPenalty ranks workers that are earmarked for a gang after those of the same kind that are not; a score without penalties
+// is below 1.
+const earmarkPenalty = 1.0
+
 // expiredTicketPenalty ranks workers with expired tickets after all others: while a gang waits for the renewal of some tickets,
 // its other tickets may expire.
 const expiredTicketPenalty = 10.0
@@ -140,7 +144,8 @@
 	return capacity
 }
 
-// score returns a lower value for a better worker: in the rack of the data, not slow, and with the least capacity left over.
+// score returns a lower value for a better worker: in the rack of the data, not slow, not about to be used by a gang, and with the
+// least capacity left over.
 func (p *pass) score(w *worker, ts *taskSet) float64 {
 	leftover := p.available(w).Sub(ts.amount)
 	score := leftover.DominantShare(w.Capacity)
@@ -150,5 +155,8 @@
 	if w.slow() {
 		score += slowPenalty
 	}
+	if w.earmarkedFor != ts && p.now < w.earmarkedUntil {
+		score += earmarkPenalty
+	}
 	return score
 }
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -128,16 +128,25 @@
 	p.requestTickets(ts, expired, len(ts.pending)-len(chosen))
 }
 
-// requestTickets queries the workers with expired tickets, and further ones for the missing number of tasks.
+// requestTickets queries the workers with expired tickets, and further ones for the missing number of tasks. A gang needs all its
+// tickets at the same time, so it sends several queries at once; other task sets start tasks with each answer.
 func (p *pass) requestTickets(ts *taskSet, expired map[string]struct{}, missing int) {
-	if ts.querying || p.noAdvisorFor(ts) {
+	if len(ts.querying) > 0 || p.noAdvisorFor(ts) {
 		return
 	}
+	maxWorkers := maxQueryWorkers
+	if ts.spec.Gang {
+		maxWorkers *= maxGangQueries
+	}
 	names := slices.Sorted(maps.Keys(expired))
 	if missing > 0 {
-		names = append(names, p.queryCandidates(ts, missing)...)
+		names = append(names, p.queryCandidates(ts, missing, maxWorkers)...)
+	}
+	names = names[:min(len(names), maxWorkers)]
+	queries := (len(names) + maxQueryWorkers - 1) / maxQueryWorkers
+	for i := range queries {
+		p.query(ts, names[len(names)*i/queries:len(names)*(i+1)/queries])
 	}
-	p.query(ts, names[:min(len(names), maxQueryWorkers)])
 }
 
 // prefetchTickets sends the first query of a task set ahead of time, so that the allowed workers are known when it may start.
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -24,11 +24,11 @@
 	deadline    time.Duration // when the result of the workflow is of no use any more
 	remaining   time.Duration // estimated time of this step and of those that depend on it
 
-	limitLogged bool // the event held_by_limit was recorded
-	querying    bool
-	queried     map[string]bool    // workers that were part of an answered query
-	ticketFor   map[string]*ticket // by worker
-	tickets     []*ticket          // in order of arrival
+	limitLogged bool                // the event held_by_limit was recorded
+	querying    map[string]struct{} // workers named in queries in flight
+	queried     map[string]bool     // workers that were part of an answered query
+	ticketFor   map[string]*ticket  // by worker
+	tickets     []*ticket           // in order of arrival
 }
 
 // taskSet returns the task set of a step, creating it if necessary.
@@ -44,7 +44,7 @@
 		id: id, record: r, spec: spec, amount: spec.Reservation(), readySince: now,
 		live: make(map[int]*run), onWorker: make(map[string]int),
 		objectiveAt: accepted + objective, deadline: accepted + deadlineFactor*objective, remaining: c.durations.criticalPath(&r.Workflow, id.Step),
-		queried: make(map[string]bool), ticketFor: make(map[string]*ticket),
+		querying: make(map[string]struct{}), queried: make(map[string]bool), ticketFor: make(map[string]*ticket),
 	}
 	c.taskSets[id] = ts
 	c.byWorkflow[id.Workflow] = append(c.byWorkflow[id.Workflow], ts)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -54,7 +54,9 @@
 	eligibleIn        uint64        // last pass in which it may receive new tasks
 	claimedIn         uint64        // pass to which claimed belongs
 	claimed           pj.Resources  // by task sets that wait for more capacity
-	slowness          float64       // moving average of the time of a run here, as a multiple of its queue's mean; 0 without a sample
+	earmarkedFor      *taskSet      // gang that is about to start here; see pass.earmark
+	earmarkedUntil    time.Duration
+	slowness          float64 // moving average of the time of a run here, as a multiple of its queue's mean; 0 without a sample
 }
 
 func (c *Controller) addWorker(info pj.PolledWorker) *worker {
