Runs: a gang whose member was not started is stopped at once

A start without an answer was given up after 0.6 s, then looked for, then stopped; the other members only once the end of that one was committed. Change: orders are given up after 0.3 s (a wrong guess costs one poll that shows the run); the other members are stopped together with the one that the worker doesn't have. TestGangWithUnansweredStart fails without the second change.

--- a/internal/control/runs/loss_test.go
+++ b/internal/control/runs/loss_test.go
@@ -78,3 +78,18 @@
 	}
 	x.is.Equal(wait(), usual)
 }
+
+// TestGangWithUnansweredStart: if a worker doesn't have the run of a gang's member whose start order was not answered, the gang can't
+// assemble. The other members are stopped at the same time as that one, not only after its end is known.
+func TestGangWithUnansweredStart(t *testing.T) {
+	x := newCell(t, 2)
+	x.submit("a", pj.Step{Tasks: 2, Task: pj.NewResources(8, 8, 0, 0), Gang: true})
+	starts := x.orders.take("start")
+	x.is.Equal(len(starts), 2)
+	starts[0].answer(nil)
+	starts[1].answer(errNoAnswer)
+	x.answerPolls(map[string]pj.PollResponse{starts[0].worker: {Running: []pj.RunStatus{{Run: starts[0].run}}}})
+	x.clock.now += time.Second
+	x.answerPolls(map[string]pj.PollResponse{starts[0].worker: {Running: []pj.RunStatus{{Run: starts[0].run}}}})
+	x.is.Equal(len(x.orders.take("stop")), 2)
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -239,16 +239,21 @@
 
 // gangMemberEnded stops the other members of a gang after one has ended, and enqueues the gang again once all have ended.
 func (c *Controller) gangMemberEnded(v *run, outcome pj.RunOutcome) {
-	for _, other := range v.taskSet.live {
-		if other.stopReason == "" && other.id.Run == v.id.Run {
-			c.stop(other, "a member of the gang ended as "+string(outcome))
-		}
-	}
+	c.stopGang(v, "a member of the gang ended as "+string(outcome))
 	if len(v.taskSet.live) == 0 {
 		c.enqueue(v.taskSet)
 	}
 }
 
+// stopGang stops the other members of a run's gang.
+func (c *Controller) stopGang(v *run, why string) {
+	for _, other := range v.taskSet.live {
+		if other != v && other.stopReason == "" && other.id.Run == v.id.Run {
+			c.stop(other, why)
+		}
+	}
+}
+
 // finishWorkflow stops the remaining runs of a workflow in a final state. Once none is live, it records the end of the
 // workflow, unless that was already done.
 func (c *Controller) finishWorkflow(r *workflow.Record) {
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -436,6 +436,9 @@
 		c.end(v, pj.EndWorkerLost, v.checkpoint)
 	case v.resolvedAt == 0 && v.unanswered && now >= v.stopSentAt+stopRetryInterval:
 		c.stop(v, "the start order was not answered")
+		if v.taskSet.spec.Gang {
+			c.stopGang(v, "the start order of a member of the gang was not answered")
+		}
 	}
 }
 
--- a/internal/server/cluster/orders.go
+++ b/internal/server/cluster/orders.go
@@ -11,7 +11,7 @@
 
 // Timeouts of calls to workers.
 const (
-	orderTimeout = 600 * time.Millisecond
+	orderTimeout = 300 * time.Millisecond // a worker answers at once; without an answer the leader polls it to learn the outcome
 	pollSlack    = 700 * time.Millisecond // added to the time for which a worker may hold a poll open
 	adviseSlack  = 200 * time.Millisecond // added to the policy's own timeout, for the call to the VM that queries it
 )
