Runs: only a poll sent after a start was given up shows that the worker lacks the run

Found by reading: with orders given up after 0.3 s, a poll that was answered before the order arrived, and whose answer came after it was given up, would have stopped a run that goes on. TestPollSentBeforeUnansweredStart fails without the comparison of the times.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -12,7 +12,7 @@
 const (
 	maxQueryWorkers     = 30                     // workers in one query
 	maxGangQueries      = 4                      // queries of one gang in flight
-	queryStride         = 31                     // workers from the one that a query considers first to that of the next query
+	queryStride         = 31                     // workers between the starting points of two queries
 	minQueryWorkers     = 12                     // workers in a first query, if there are so many
 	extraQueryCost      = 0.35                   // fraction of the fixed decision time that the workers of a query may add; a query is extended up to this
 	oversampling        = 1.6                    // factor by which a query names more workers than the step is expected to need
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -95,7 +95,7 @@
 	passes      uint64        // number of scheduling passes so far
 	passWorkers []*worker     // memory for the workers of the next pass
 	nextPassAt  time.Duration // when the next pass may run
-	queryOffset int           // the worker that the next query considers first, so that queries name different ones among equals
+	queryOffset int           // starting point of the last query in the list of workers, so that queries name different ones among equals
 	prunedAt    time.Duration
 }
 
--- a/internal/control/runs/loss_test.go
+++ b/internal/control/runs/loss_test.go
@@ -93,3 +93,24 @@
 	x.answerPolls(map[string]pj.PollResponse{starts[0].worker: {Running: []pj.RunStatus{{Run: starts[0].run}}}})
 	x.is.Equal(len(x.orders.take("stop")), 2)
 }
+
+// TestPollSentBeforeUnansweredStart: a poll that was sent before the start order was given up may have been answered before the
+// order arrived, so it doesn't show that the worker lacks the run.
+func TestPollSentBeforeUnansweredStart(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	x.advance(100 * time.Millisecond)
+	early := x.orders.take("poll")
+	x.clock.now += 300 * time.Millisecond
+	start.answer(errNoAnswer)
+	probe := x.orders.take("poll")
+	x.is.Equal(len(probe), 1)
+	empty := pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}
+	early[0].answerPoll(empty, nil)
+	x.flush()
+	x.is.Equal(len(x.orders.take("stop")), 0)
+	probe[0].answerPoll(empty, nil)
+	x.flush()
+	x.is.Equal(len(x.orders.take("stop")), 1)
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -30,7 +30,7 @@
 	startedAt    time.Duration
 	resolvedAt   time.Duration // since when the outcome of the start order is known; 0 while it is unknown
 	unconfirmed  bool          // adopted from an earlier leader, and not yet listed by the worker in a poll of this one
-	unanswered   bool          // the start order got no answer
+	unansweredAt time.Duration // since when it is known that the start order got no answer; 0 if it got one or may still get it
 	ending       bool          // its end is being committed
 	stopReason   string        // why the run is to be stopped; empty if it isn't
 	stopSentAt   time.Duration
@@ -110,7 +110,7 @@
 	}
 	var refused *pj.RefusedError
 	if !errors.As(err, &refused) {
-		v.unanswered = true
+		v.unansweredAt = max(now, 1)
 		v.worker.unansweredAt = max(now, 1)
 		c.options.Events.Record("start_unanswered", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "err", err)
 		v.worker.nextPollAt = 0
@@ -167,7 +167,7 @@
 		switch {
 		case err == nil:
 			c.resolveStart(v, false) // the worker will refuse a start order that is still in transit
-			if v.unanswered {
+			if v.unansweredAt != 0 {
 				v.worker.nextProbeAt = 0
 				c.probe(v.worker)
 			}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -13,7 +13,7 @@
 // Intervals and timeouts of polls and orders.
 const (
 	pollWait           = 1500 * time.Millisecond // long poll: how long a worker may delay its answer
-	lossyPollWait      = 250 * time.Millisecond  // the same for a worker that has left something unanswered within lossMemory: what a lost answer would tell is known sooner
+	lossyPollWait      = 250 * time.Millisecond  // shorter, for a worker that left a poll or an order unanswered within lossMemory: the next lost answer is noticed sooner
 	lossMemory         = 10 * time.Second
 	probeInterval      = 100 * time.Millisecond  // between two polls that a worker answers at once, while the outcome of a start order there is unknown
 	minPollInterval    = 40 * time.Millisecond   // ends in between are reported together
@@ -281,7 +281,7 @@
 // hasOpenStart reports whether a start order for the worker got no answer, and its outcome is still unknown.
 func (w *worker) hasOpenStart() bool {
 	for _, v := range w.runs {
-		if v.unanswered && v.resolvedAt == 0 {
+		if v.unansweredAt != 0 && v.resolvedAt == 0 {
 			return true
 		}
 	}
@@ -434,7 +434,7 @@
 	case v.phase != phaseCommitted || v.ending:
 	case v.resolvedAt != 0 && v.resolvedAt <= sent:
 		c.end(v, pj.EndWorkerLost, v.checkpoint)
-	case v.resolvedAt == 0 && v.unanswered && now >= v.stopSentAt+stopRetryInterval:
+	case v.resolvedAt == 0 && v.unansweredAt != 0 && v.unansweredAt <= sent && now >= v.stopSentAt+stopRetryInterval:
 		c.stop(v, "the start order was not answered")
 		if v.taskSet.spec.Gang {
 			c.stopGang(v, "the start order of a member of the gang was not answered")
