--- a/internal/control/runs/announcement_test.go
+++ b/internal/control/runs/announcement_test.go
@@ -29,12 +29,13 @@
 // it out of use, and its run must not be started elsewhere while it goes on.
 func TestOddAnnouncement(t *testing.T) {
 	tests := map[string]func(w *pj.PolledWorker){
-		"start time in the far future": func(w *pj.PolledWorker) { w.Incarnation = testTime + time.Hour.Milliseconds() },
-		"largest start time":           func(w *pj.PolledWorker) { w.Incarnation = math.MaxInt64 },
-		"another address":              func(w *pj.PolledWorker) { w.Address = "10.9.9.9:1" },
-		"another pool":                 func(w *pj.PolledWorker) { w.Pool = "other" },
-		"another capacity":             func(w *pj.PolledWorker) { w.Capacity = w.Capacity.Mul(10) },
-		"other labels":                 func(w *pj.PolledWorker) { w.Labels = []string{"b"} },
+		"start time in the far future":                   func(w *pj.PolledWorker) { w.Incarnation = testTime + time.Hour.Milliseconds() },
+		"largest start time":                             func(w *pj.PolledWorker) { w.Incarnation = math.MaxInt64 },
+		"another address":                                func(w *pj.PolledWorker) { w.Address = "10.9.9.9:1" },
+		"a restart at the same address while it answers": func(w *pj.PolledWorker) { w.Incarnation++ },
+		"another pool":                                   func(w *pj.PolledWorker) { w.Pool = "other" },
+		"another capacity":                               func(w *pj.PolledWorker) { w.Capacity = w.Capacity.Mul(10) },
+		"other labels":                                   func(w *pj.PolledWorker) { w.Labels = []string{"b"} },
 		"a restart elsewhere while it answers": func(w *pj.PolledWorker) {
 			w.Incarnation++
 			w.Address = "10.9.9.9:1"
--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -180,8 +180,13 @@
 			// The start order reached the new incarnation, which then becomes unreachable.
 			w := testWorker(start.worker)
 			w.Incarnation = testIncarnation + 1
-			x.c.Announce(w, func(err error) { x.is.NoErr(err) })
-			x.flush()
+			x.is.True(x.announce(w) != nil) // the previous incarnation has answered a moment ago
+			for _, o := range x.orders.take("poll") {
+				if o.worker == start.worker {
+					o.answerPoll(pj.PollResponse{Incarnation: w.Incarnation, ClockMS: 1}, nil)
+				}
+			}
+			x.is.NoErr(x.announce(w))
 			other := map[string]string{"w0": "w1", "w1": "w0"}[start.worker]
 			start.answer(nil)
 			for range 110 {
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -118,13 +118,18 @@
 	if known && info.Incarnation != 0 && info.Incarnation == recorded.Incarnation && !recorded.SameDescription(info) {
 		return pj.Refuse(pj.CodeConflict, "worker %s: incarnation %d was announced with another description", info.ID, info.Incarnation)
 	}
-	w, now := c.workers[info.ID], c.options.Clock.Now()
-	if w != nil && w.Address != info.Address && w.confirmedAddress == w.Address && now <= w.polledAt+unresponsiveAfter {
-		return pj.Refuse(pj.CodeConflict, "worker %s still answers at %s", info.ID, w.Address)
+	if w := c.workers[info.ID]; w != nil && (w.Address != info.Address || w.Incarnation < info.Incarnation) && c.answers(w) {
+		c.probe(w) // shows whether another incarnation answers there now; the worker announces itself again
+		return pj.Refuse(pj.CodeConflict, "incarnation %d of worker %s still answers at %s", w.Incarnation, info.ID, w.Address)
 	}
 	return nil
 }
 
+// answers reports whether a worker has lately answered this leader at its address.
+func (c *Controller) answers(w *worker) bool {
+	return w.confirmedAddress == w.Address && c.options.Clock.Now() <= w.polledAt+unresponsiveAfter
+}
+
 // latestIncarnation returns the latest start time that a worker can have, in Unix milliseconds.
 func (c *Controller) latestIncarnation() int64 {
 	return c.options.UnixMilli() + maxClockSkew.Milliseconds()
