--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -220,7 +220,7 @@
 // queryCandidates returns workers to query for a number of tasks: those with the most available capacity among those
 // not queried yet.
 func (p *pass) queryCandidates(ts *taskSet, tasks, maxWorkers int) []string {
-	most := p.roomiest(ts, min(p.queryWidth(ts, tasks), maxWorkers))
+	most := p.mostAvailable(ts, min(p.queryWidth(ts, tasks), maxWorkers))
 	names := make([]string, 0, len(most))
 	for _, cand := range most {
 		if len(ts.queried) > 0 && cand.capacity == 0 && !ts.spec.Gang {
@@ -241,9 +241,9 @@
 	return want
 }
 
-// roomiest returns up to n workers that were not queried yet, in descending order of the number of tasks that they could start
+// mostAvailable returns up to n workers that were not queried yet, in descending order of the number of tasks that they could start
 // now. It keeps only the n best while it visits all, because sorting them would take several times as long in a large fleet.
-func (p *pass) roomiest(ts *taskSet, n int) []candidate {
+func (p *pass) mostAvailable(ts *taskSet, n int) []candidate {
 	most := make([]candidate, 0, n+1)
 	avoided := p.c.quarantine.AvoidedWorkers(ts.id.Workflow)
 	p.visits += len(p.workers)
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -115,7 +115,7 @@
 		c.options.Events.Record("start_unanswered", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "err", err)
 		v.worker.nextPollAt = 0
 		c.poll(v.worker)
-		c.probe(v.worker)
+		c.pollAtOnce(v.worker)
 		return
 	}
 	c.options.Events.Record("start_refused", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "reason", refused.Reason)
@@ -168,8 +168,8 @@
 		case err == nil:
 			c.resolveStart(v, false) // the worker will refuse a start order that is still in transit
 			if v.unansweredAt != 0 {
-				v.worker.nextProbeAt = 0
-				c.probe(v.worker)
+				v.worker.nextPollAtOnce = 0
+				c.pollAtOnce(v.worker)
 			}
 		case errors.As(err, &refused) && refused.Reason == pj.RefusedStaleFence:
 			c.depose(v.worker, "stop")
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -15,7 +15,7 @@
 	pollWait           = 1500 * time.Millisecond // long poll: how long a worker may delay its answer
 	lossyPollWait      = 250 * time.Millisecond  // shorter, for a worker that left a poll or an order unanswered within lossMemory: the next lost answer is noticed sooner
 	lossMemory         = 10 * time.Second
-	probeInterval      = 100 * time.Millisecond  // between two polls that a worker answers at once, while the outcome of a start order there is unknown
+	pollAtOnceInterval = 100 * time.Millisecond  // between two polls that a worker answers at once, while the outcome of a start order there is unknown
 	minPollInterval    = 40 * time.Millisecond   // ends in between are reported together
 	pollRetryDelay     = 250 * time.Millisecond  // after a poll without an answer
 	unresponsiveAfter  = 1900 * time.Millisecond // without an answer for this long, a worker receives no new task
@@ -29,17 +29,17 @@
 type worker struct {
 	pj.PolledWorker
 
-	free    pj.Resources
-	runs    map[pj.RunID]*run
-	acked   int64         // number of the last committed end, which polls acknowledge
-	leftAt  time.Duration // when its removal was proposed, because it left or was evicted; 0 before
-	usable  bool
-	removed bool // no longer in Controller.workers
-	polling bool
-	probing bool // a poll that is answered at once is in flight
+	free          pj.Resources
+	runs          map[pj.RunID]*run
+	acked         int64         // number of the last committed end, which polls acknowledge
+	leftAt        time.Duration // when its removal was proposed, because it left or was evicted; 0 before
+	usable        bool
+	removed       bool // no longer in Controller.workers
+	polling       bool
+	pollingAtOnce bool // a poll that is answered at once is in flight
 
-	unansweredAt time.Duration // when a poll or an order there last got no answer; 0 if none did
-	nextProbeAt  time.Duration
+	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
+	nextPollAtOnce time.Duration
 
 	described         int64         // incarnation that announced the worker's description; tasks start only while it is the current one
 	confirmedAddress  string        // address at which it last answered a poll of this leader
@@ -119,7 +119,7 @@
 		return pj.Refuse(pj.CodeConflict, "worker %s: incarnation %d was announced with another description", info.ID, info.Incarnation)
 	}
 	if w := c.workers[info.ID]; w != nil && (w.Address != info.Address || w.Incarnation < info.Incarnation) && c.answers(w) {
-		c.probe(w) // shows whether another incarnation answers there now; the worker announces itself again
+		c.pollAtOnce(w) // shows whether another incarnation answers there now; the worker announces itself again
 		return pj.Refuse(pj.CodeConflict, "incarnation %d of worker %s still answers at %s", w.Incarnation, info.ID, w.Address)
 	}
 	return nil
@@ -255,15 +255,15 @@
 	return c.grantLease(now, w)
 }
 
-// probe polls a worker that must answer at once, beside a poll that may be in flight.
-func (c *Controller) probe(w *worker) {
+// pollAtOnce polls a worker that must answer at once, beside a poll that may be in flight.
+func (c *Controller) pollAtOnce(w *worker) {
 	now := c.options.Clock.Now()
-	if w.probing || !w.polled || w.Address == "" || now < w.nextProbeAt || c.deposed || !c.options.Group.Serving() {
+	if w.pollingAtOnce || !w.polled || w.Address == "" || now < w.nextPollAtOnce || c.deposed || !c.options.Group.Serving() {
 		return
 	}
-	w.probing, w.nextProbeAt = true, now+probeInterval
+	w.pollingAtOnce, w.nextPollAtOnce = true, now+pollAtOnceInterval
 	request := pj.PollRequest{Fence: c.options.Term, Ack: w.acked, LeaseUntilMS: c.renewedLease(now, w)}
-	c.sendPoll(now, w, request, &w.probing)
+	c.sendPoll(now, w, request, &w.pollingAtOnce)
 }
 
 // sendPoll sends a poll and handles its answer. inFlight is reset once the outcome is known.
@@ -453,7 +453,7 @@
 		c.updateUsable(now, w)
 		c.poll(w)
 		if w.hasOpenStart() {
-			c.probe(w)
+			c.pollAtOnce(w)
 		}
 		exited := w.leftAt != 0 && now >= w.leftAt+exitDelay && w.leftAt > c.electedAt
 		if exited || (now > w.polledAt+unresponsiveAfter && c.leaseExpired(now, w)) {
