Quorum: a member that rejects an append is probed before further entries are sent

Cause: a former leader with uncommitted entries is the only other member with a disk, so nothing commits without it. The leader sent it one batch after a rejection and, 8 ms later, the next one behind it: a first batch and what is pipelined after it were not told apart. The second batch is rejected too, with the member's last index, which takes next up to that again; and a heartbeat's new round made the leader drop the answer to the deeper probe. Over a link slower than 8 ms the search never ends. The rejections renew the lease, so no other leader is elected. Ruled out: votes (the leader holds its lease all the time), the disk (writes go on), the cut (healed). Change: progress is in one of two modes. While probing, the leader sends one append with entries, waits for its answer, and only repeats it without entries at heartbeats; it pipelines once the member has confirmed the entry before. Each step of the search has a round of its own, so answers to earlier messages are told from answers to the probe at any round trip time. A rejection names the term of the last entry that can be shared, so that a step passes over all entries of one term. A load line of a leader has uncommitted and lags; papaya_log_uncommitted_entries is a metric. Why it works: next changes only by an answer to the probe itself, falls with each of them, and there are as many steps as terms.

--- a/consensus.go
+++ b/consensus.go
@@ -64,8 +64,8 @@
 	From               string
 	To                 string
 	Term               uint64
-	Index              uint64 // append: the entry before Entries; vote: the candidate's last entry; append reply: the last entry that matches
-	LogTerm            uint64 // term of the entry at Index
+	Index              uint64 // append: the entry before Entries; vote: the candidate's last entry; append reply: the last entry that matches, or with Reject: that may match
+	LogTerm            uint64 // term of the entry at Index; not in append replies without Reject
 	Commit             uint64
 	Round              uint64 // the leader's heartbeat round to which this message or reply belongs
 	Reject             bool
--- a/internal/control/quorum/log.go
+++ b/internal/control/quorum/log.go
@@ -60,6 +60,21 @@
 	return l.entries[index-l.first].Term, true
 }
 
+// lastSharedIndex returns the highest index up to the given one at which another log can have the same entry as this one,
+// if its entry at the given index has the given term: terms never fall along a log. A term of 0 is unknown. It stops
+// before the first entry whose term isn't known.
+func (l *raftLog) lastSharedIndex(index, term uint64) uint64 {
+	index = min(index, l.lastIndex())
+	for term != 0 && index > 0 {
+		own, ok := l.term(index)
+		if !ok || own <= term {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 func (l *raftLog) append(term uint64, kind pj.EntryKind, data []byte) pj.LogEntry {
 	e := pj.LogEntry{Index: l.lastIndex() + 1, Term: term, Kind: kind, Data: data}
 	l.entries = append(l.entries, e)
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -12,15 +12,18 @@
 // commit by at most this time.
 const minAppendInterval = 8 * time.Millisecond
 
-// progress is the leader's record of another member's replication.
+// progress is the leader's record of another member's replication. While it probes, the leader looks for the last entry
+// that the two logs share and sends entries behind next-1 only once the member has confirmed that entry.
 type progress struct {
 	match            uint64        // highest index known to match the leader's log
 	next             uint64        // index of the next entry to send
+	probing          bool          // the member has not confirmed the entry before next
+	probeSent        bool          // entries from next on were sent while probing
+	probeRound       uint64        // rejections of earlier rounds don't refer to next-1 or were sent before the search began
 	ackedRound       uint64        // newest acknowledged round
 	ackedRoundSentAt time.Duration // when ackedRound was sent; until the first acknowledgement, when the member was added
 	responded        bool          // has answered an append or snapshot in this term
 	entriesSentAt    time.Duration // when entries were last sent
-	nextResetRound   uint64        // the round in which next was last decreased after a rejection
 	snapshotSentAt   time.Duration // when a snapshot was last sent; 0 if none is in flight
 
 	snapshotRound uint64 // the round in which the snapshot was sent
@@ -36,7 +39,7 @@
 	}
 	for _, id := range members {
 		if id != c.options.ID && c.peers[id] == nil {
-			c.peers[id] = &progress{next: c.log.lastIndex() + 1, ackedRoundSentAt: now}
+			c.peers[id] = &progress{next: c.log.lastIndex() + 1, probing: true, ackedRoundSentAt: now}
 		}
 	}
 }
@@ -75,10 +78,9 @@
 		c.sendSnapshot(now, id, p, heartbeat)
 		return
 	}
-	last := c.log.lastIndex()
 	var entries []pj.LogEntry
-	if p.next <= last && (p.responded || p.next == p.match+1 || heartbeat) && !c.shouldDelayEntries(now, p) {
-		entries = c.log.slice(p.next, last, c.options.MaxBatchBytes)
+	if c.mayPipeline(now, p) || (p.probing && !p.probeSent && (heartbeat || p.responded || p.next == p.match+1)) {
+		entries = c.log.slice(p.next, c.log.lastIndex(), c.options.MaxBatchBytes)
 	}
 	if len(entries) == 0 && !heartbeat {
 		return
@@ -87,12 +89,21 @@
 		Kind: pj.MessageAppend, To: id, Index: p.next - 1, LogTerm: prevTerm,
 		Commit: c.log.commit, Round: c.round, Entries: entries,
 	})
-	if len(entries) > 0 {
+	if len(entries) == 0 {
+		return
+	}
+	p.entriesSentAt = now
+	p.probeSent = p.probing
+	if !p.probing {
 		p.next += uint64(len(entries))
-		p.entriesSentAt = now
 	}
 }
 
+// mayPipeline reports whether further entries may be sent to a member before it has acknowledged the last ones.
+func (c *Core) mayPipeline(now time.Duration, p *progress) bool {
+	return !p.probing && !c.shouldDelayEntries(now, p)
+}
+
 // shouldDelayEntries reports whether entries for a member must wait: until minAppendInterval has
 // passed, so that they are batched, or because MaxInFlight entries are unacknowledged.
 func (c *Core) shouldDelayEntries(now time.Duration, p *progress) bool {
@@ -139,7 +150,8 @@
 	term, ok := c.log.term(m.Index)
 	if !ok || term != m.LogTerm {
 		reply.Reject = true
-		reply.Index = min(m.Index-1, c.log.lastIndex())
+		reply.Index = max(c.log.lastSharedIndex(min(m.Index-1, c.log.lastIndex()), m.LogTerm), c.log.commit)
+		reply.LogTerm, _ = c.log.term(reply.Index)
 		c.send(reply)
 		return
 	}
@@ -183,28 +195,49 @@
 		c.confirmReads()
 	}
 	if m.Reject {
-		if m.Round < p.nextResetRound {
-			return // the entries resent since then are still in flight
-		}
-		if m.Round > p.snapshotRound {
-			p.snapshotSentAt = 0 // a message sent later has arrived, so the snapshot was lost
-		}
-		p.nextResetRound = c.round
-		p.next = max(min(p.next-1, m.Index+1), p.match+1)
-		// Without heartbeat: a member that waits for a snapshot would reject the empty append at once.
-		c.sendAppend(now, m.From, p, false)
+		c.handleRejection(now, m, p)
 		return
 	}
 	if m.Index > p.match {
 		p.match = m.Index
 		p.snapshotSentAt = 0
 	}
+	if p.probing && p.match+1 >= p.next {
+		p.probing, p.probeSent = false, false
+	}
 	p.next = max(p.next, p.match+1)
 	c.advanceCommit()
 	c.confirmReads()
 	c.maybeSendTimeoutNow(m.From, p)
 }
 
+// handleRejection continues the search for the last entry that a member's log shares with the leader's. Each step takes
+// one round trip and passes over all entries of one term.
+func (c *Core) handleRejection(now time.Duration, m pj.PeerMessage, p *progress) {
+	switch {
+	case p.snapshotSentAt != 0 && m.Round <= p.snapshotRound:
+		return // sent before the snapshot
+	case p.snapshotSentAt != 0:
+		p.snapshotSentAt = 0 // a message sent later has arrived, so the snapshot was lost
+	case m.Round < p.probeRound || m.Index < p.match:
+		return // an answer to what was sent before the last step, or before the member stored what it has confirmed since
+	default:
+		c.probe(now, p, c.log.lastSharedIndex(m.Index, m.LogTerm)+1)
+	}
+	// Without heartbeat: a member that waits for a snapshot would reject the empty append at once.
+	c.sendAppend(now, m.From, p, false)
+}
+
+// probe takes the search back to the entry before next. The round is new, so that answers to earlier messages are told
+// from answers to this probe, however long the round trip is.
+func (c *Core) probe(now time.Duration, p *progress, next uint64) {
+	p.next = max(min(p.next-1, next), p.match+1)
+	p.probing, p.probeSent = true, false
+	c.round++
+	c.roundSentAt[c.round] = now
+	p.probeRound = c.round
+}
+
 // advanceCommit commits up to the highest index that a majority of voters has stored, if its entry is
 // of this leader's term.
 func (c *Core) advanceCommit() {
--- a/internal/server/cluster/load.go
+++ b/internal/server/cluster/load.go
@@ -66,8 +66,13 @@
 		"calls", calls - m.lastCalls, "applied", applied - m.lastApplied, "disk_writes", saves.Writes - m.lastSaves.Writes, "disk_time", saves.Took - m.lastSaves.Took,
 		"disk_payload_bytes", writeStats.PayloadBytes - m.lastWriteStats.PayloadBytes, "disk_page_bytes", writeStats.PageBytes - m.lastWriteStats.PageBytes,
 	}
+	core := m.replica.group.Core()
+	if core.Leadership().IsLeader {
+		keyvals = append(keyvals, "uncommitted", core.Uncommitted(), "lags", core.Lags())
+	}
 	set := m.replica.vm.options.Metrics
 	set.GetOrCreateFloatCounter("papaya_control_busy_seconds_total").Add(usage.Busy.Seconds())
+	set.GetOrCreateGauge("papaya_log_uncommitted_entries", nil).Set(float64(core.Uncommitted()))
 	set.GetOrCreateCounter("papaya_disk_payload_bytes_total").AddInt64(writeStats.PayloadBytes - m.lastWriteStats.PayloadBytes)
 	set.GetOrCreateCounter("papaya_disk_page_bytes_total").AddInt64(writeStats.PageBytes - m.lastWriteStats.PageBytes)
 	if m.replica.controller != nil {
