Quarantine: a job uses a worker again on which it failed, after a time or a success there

Cause: a job avoided each worker on which it had failed until the same job succeeded or ended. A step that few workers may run has none left; nothing looked at whether any other worker could run it. Ruled out: the label (later jobs with it ran), attempts (two were left). Afterwards the worker ranks behind others. Failures are still counted for the attribution to the job. Events worker_avoided and worker_avoidance_over. A cell of polled workers quarantines for 4 s to 1 min instead of 30 s to 30 min: workers were barred long after their fault was over, also if all that may run a job were among them. papayad keeps its lengths. Its scheduler looks again at a worker that a job no longer avoids. Why it works: each bar has an end that doesn't depend on the barred job running.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -180,6 +180,9 @@
 		c.refreshWorkspaces()
 	}
 	c.expireTemporaryLimits(now)
+	for _, w := range c.quarantine.Expire(now) {
+		c.scheduler.Retry(w)
+	}
 	c.tickWorkers(now)
 	c.slotTable.Tick(now)
 	c.tickAnnouncements(now)
@@ -236,6 +239,7 @@
 		return
 	}
 	if !accepted {
+		c.quarantine.RecordStop(v.worker.name)
 		c.dropAttempt(v)
 		c.requeue(v.record)
 		return
--- a/internal/control/coordinator/workers.go
+++ b/internal/control/coordinator/workers.go
@@ -211,6 +211,7 @@
 		v.since = now
 		c.notifyJob(v.id.Job)
 	}
+	c.quarantine.RecordRunning(now, v.since, v.worker.name)
 	v.peak = v.peak.Max(t.Usage)
 	c.checkUsage(v, t)
 }
@@ -282,6 +283,9 @@
 		return
 	}
 	v.ending = true
+	if end.Phase == pj.PhaseStopped {
+		c.quarantine.RecordStop(v.worker.name)
+	}
 	end.EndedAt = c.options.UnixMilli()
 	if outcomeUnknown && !v.record.Job.Repeatable && (v.startSent || v.running) {
 		end.Fatal = true
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -126,7 +126,7 @@
 		options:    options,
 		electedAt:  options.Clock.Now(),
 		ledger:     fairness.New(),
-		quarantine: quarantine.New(),
+		quarantine: quarantine.New(quarantine.WithQuarantine(minQuarantine, maxQuarantine)),
 		usage:      newUsageTracker(),
 		durations:  make(durations),
 		workers:    make(map[string]*worker),
@@ -217,6 +217,7 @@
 	if c.rulesVersion != c.options.State.Rules().Version {
 		c.refreshRules()
 	}
+	c.expireAvoidance(now)
 	c.tickWorkers(now)
 	c.enqueueDelayed()
 	c.pruneWorkflows(now)
--- a/internal/control/runs/pass.go
+++ b/internal/control/runs/pass.go
@@ -102,6 +102,9 @@
 // its other tickets may expire.
 const expiredTicketPenalty = 10.0
 
+// failedPenalty ranks workers on which the workflow has failed after others.
+const failedPenalty = 3.0
+
 // candidate is a worker with its score and its capacity for the tasks of a task set.
 type candidate struct {
 	worker   *worker
@@ -144,7 +147,8 @@
 	return capacity
 }
 
-// score returns a lower value for a better worker: in the rack of the data, not slow, not about to be used by a gang, and with the
+// score returns a lower value for a better worker: in the rack of the data, not slow, without failures of the
+// workflow, not about to be used by a gang, and with the
 // least capacity left over.
 func (p *pass) score(w *worker, ts *taskSet) float64 {
 	leftover := p.available(w).Sub(ts.amount)
@@ -155,6 +159,9 @@
 	if w.slow() {
 		score += slowPenalty
 	}
+	if p.c.quarantine.FailedOn(ts.id.Workflow, w.ID) {
+		score += failedPenalty
+	}
 	if w.earmarkedFor != ts && p.now < w.earmarkedUntil {
 		score += earmarkPenalty
 	}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -6,11 +6,14 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/quarantine"
 	"papayajunction/internal/control/workflow"
 )
 
 const (
-	unhealthyBackoff = time.Second      // after a worker refused an order, or after the start of a probe, it receives no new task for this long
+	unhealthyBackoff = time.Second     // after a worker refused an order, or after the start of a probe, it receives no new task for this long
+	minQuarantine    = 4 * time.Second // of a worker that fails all its tasks; doubles with each further one
+	maxQuarantine    = time.Minute
 	removeAfter      = 30 * time.Second // a worker without runs that has not answered for this long is removed
 )
 
@@ -66,6 +69,7 @@
 func (c *Controller) startCommitted(v *run, accepted bool) {
 	if !accepted {
 		c.release(v)
+		c.quarantine.RecordStop(v.worker.ID)
 		c.requeue(v.taskSet, v.id.Task.Index)
 		return
 	}
@@ -229,14 +233,27 @@
 		c.durations.observe(v.taskSet.record.Workflow.Queue, now-v.startedAt)
 		c.quarantine.RecordSuccess(v.startedAt, v.id.Task.Workflow, v.worker.ID)
 	case pj.EndFailed:
-		if _, quarantined := c.quarantine.RecordFailure(now, v.id.Task.Workflow, v.worker.ID); quarantined {
+		avoidFor := quarantine.AvoidLimitedAttempts
+		if v.taskSet.spec.LongRunning {
+			avoidFor = quarantine.AvoidUnlimitedAttempts
+		}
+		_, quarantined := c.quarantine.RecordFailureAvoiding(now, v.id.Task.Workflow, v.worker.ID, avoidFor)
+		if quarantined {
 			c.updateUsable(now, v.worker)
 		}
+		c.options.Events.Record("worker_avoided", "workflow", v.id.Task.Workflow, "worker", v.worker.ID, "avoid_for", avoidFor, "quarantined", quarantined)
 	default:
 		c.quarantine.RecordStop(v.worker.ID)
 	}
 }
 
+// expireAvoidance lets workflows use workers again on which they failed, because no other worker may be left for them.
+func (c *Controller) expireAvoidance(now time.Duration) {
+	for _, w := range c.quarantine.Expire(now) {
+		c.options.Events.Record("worker_avoidance_over", "worker", w)
+	}
+}
+
 // gangMemberEnded stops the other members of a gang after one has ended, and enqueues the gang again once all have ended.
 func (c *Controller) gangMemberEnded(v *run, outcome pj.RunOutcome) {
 	c.stopGang(v, "a member of the gang ended as "+string(outcome))
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -418,6 +418,7 @@
 		v.unconfirmed = false
 		c.resolveStart(v, true)
 	}
+	c.quarantine.RecordRunning(now, v.startedAt, w.ID)
 	c.checkProgress(now, v, status)
 	if status.Checkpoint != "" {
 		v.checkpoint = status.Checkpoint
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -150,6 +150,11 @@
 	}
 }
 
+// Retry considers a worker again for work that could not be placed there, because jobs no longer avoid it.
+func (s *Scheduler) Retry(worker string) {
+	s.freedWorkers[worker] = struct{}{}
+}
+
 // RemoveWorker removes a worker. Ended must have been called for all its tasks.
 func (s *Scheduler) RemoveWorker(worker string) {
 	for _, r := range slices.Clone(s.reservations) {
--- a/internal/replay/engine/policy.go
+++ b/internal/replay/engine/policy.go
@@ -64,8 +64,11 @@
 	return jobFails
 }
 
-// Tick makes workers usable again whose quarantine is over.
+// Tick makes workers usable again whose quarantine is over, or that jobs no longer avoid.
 func (p *DaemonPolicy) Tick(now time.Duration) {
+	for _, w := range p.failures.Expire(now) {
+		p.Retry(w)
+	}
 	for w := range p.everQuarantined {
 		p.SetUsable(w, !p.failures.Quarantined(now, w))
 	}
