Runs: free capacity is held for waiting work only while that is expected to start soon

The gang fitted its tenant's cap, but not beside what a lasting job of the tenant used. Cause: a gang that its workspace's limit blocked, if it was the first one, claimed free workers in each pass, and blocked the later work of its workspace, both without an end. fitsWhenIdle counted what long-running tasks use as free. TestWaitingGangLeavesRoom fails before in 5 of 5 cases: limit or workers used by tasks that last, by tasks that take minutes, and by tasks that take longer than estimated. Ruled out: the other tenant's limit (unused), tickets (the queues have no policy), quarantine (no failure). Change: a task set holds workers or the rest of its workspace's limit only if the ends of runs, by the mean run time of their queues, let it start within 2.5 s; a run that is overdue is expected to take as long again; long-running ones have no end. A hold ends after 2.5 s without a start, and is tried again after a pause that doubles up to 4 s. Later work that is expected to end before the gang starts may use its workers meanwhile. Workers for a gang's missing members are chosen by when they are ready. The same cause on related paths: claims of tasks whose tickets are being renewed have the same bound. Why it works: each hold has an end by the clock, whatever the estimates; TestGangIsAssembled guards the other direction.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -250,7 +250,7 @@
 	p.c.queryOffset += queryStride
 	for i := range p.workers {
 		w := p.workers[(p.c.queryOffset+i)%len(p.workers)]
-		capacity := ts.amount.FitCount(p.available(w))
+		capacity := ts.amount.FitCount(p.available(w, ts))
 		if len(most) == n && capacity <= most[n-1].capacity {
 			continue
 		}
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -83,9 +83,10 @@
 	taskSets      map[pj.StepID]*taskSet
 
 	byWorkflow       map[string][]*taskSet
-	unrecordedStarts map[string]struct{} // workflows with a run that was observed on a worker, but without a committed end of a run
-	ready            []*taskSet          // task sets with pending tasks, in scheduling order
-	delayed          []*taskSet          // task sets whose scheduled start time lies ahead
+	byWorkspace      map[string]map[*run]struct{} // runs that hold capacity
+	unrecordedStarts map[string]struct{}          // workflows with a run that was observed on a worker, but without a committed end of a run
+	ready            []*taskSet                   // task sets with pending tasks, in scheduling order
+	delayed          []*taskSet                   // task sets whose scheduled start time lies ahead
 	advisors         map[string]*advisor
 	allowedShares    map[string]float64 // by queue: moving average of the fraction of workers that its policy allows
 
@@ -133,6 +134,7 @@
 		taskSets:   make(map[pj.StepID]*taskSet),
 
 		byWorkflow:       make(map[string][]*taskSet),
+		byWorkspace:      make(map[string]map[*run]struct{}),
 		unrecordedStarts: make(map[string]struct{}),
 		advisors:         make(map[string]*advisor),
 		allowedShares:    make(map[string]float64),
--- a/internal/control/runs/gang.go
+++ b/internal/control/runs/gang.go
@@ -10,11 +10,13 @@
 
 // Limits of gangs that wait.
 const (
-	maxClaimingGangs = 3                      // gangs that may claim capacity in one pass while they wait for more
-	earmarkMargin    = 200 * time.Millisecond // added to the time that the policy takes, for the way of the query and of its answer
+	maxClaimingGangs = 3 // gangs that may claim capacity in one pass while they wait for more
+
+	partialCandidates = 4                      // workers examined for each missing member
+	earmarkMargin     = 200 * time.Millisecond // added to the time that the policy takes, for the way of the query and of its answer
 )
 
-// scheduleGang starts all tasks of a gang, or claims the capacity available for it.
+// scheduleGang starts all tasks of a gang, or holds the capacity available for it if it is expected to start soon.
 func (p *pass) scheduleGang(ts *taskSet) {
 	n := len(ts.pending)
 	withinLimit := p.withinLimit(ts, ts.amount.Mul(int64(n)))
@@ -25,16 +27,12 @@
 	chosen := p.claimGang(ts, n)
 	expired := p.withoutValidTicket(ts, chosen)
 	if withinLimit && len(chosen) == n && len(expired) == 0 {
-		p.releaseClaims(chosen, ts.amount)
+		p.releaseClaims(ts, chosen)
 		p.startGang(ts, chosen)
 		return
 	}
-	switch {
-	case len(chosen) < n && (p.claimingGangs >= maxClaimingGangs || !p.fitsWhenIdle(ts, n)):
-		p.releaseClaims(chosen, ts.amount)
-	case len(chosen) < n:
-		p.claimingGangs++
-		p.claimPartial(ts, n-len(chosen))
+	if !p.holdForGang(ts, chosen, n-len(chosen)) {
+		p.releaseClaims(ts, chosen)
 	}
 	if ts.record.Workflow.Advice == nil {
 		return
@@ -48,6 +46,28 @@
 	p.requestTickets(ts, expired, n-len(chosen))
 }
 
+// holdForGang keeps the capacity that a gang has claimed, and claims more for its missing members. It reports false if the gang is
+// not expected to start soon, or has held capacity for too long.
+func (p *pass) holdForGang(ts *taskSet, chosen []*worker, missing int) bool {
+	if !p.mayHold(ts) {
+		return false
+	}
+	if missing > 0 {
+		if p.claimingGangs >= maxClaimingGangs {
+			return false
+		}
+		partial, startAt := p.claimPartial(ts, chosen, missing)
+		if startAt > p.now+maxHold {
+			p.releaseClaims(ts, partial)
+			return false
+		}
+		p.claimingGangs++
+		p.extendClaims(ts, slices.Concat(chosen, partial), startAt)
+	}
+	p.hold(ts, "workers")
+	return true
+}
+
 // earmark marks the workers on which a gang will start once its tickets are renewed. Other work, even if more urgent, starts there
 // only if no other worker has room: each start there would make the gang begin anew.
 func (p *pass) earmark(ts *taskSet, workers []*worker) {
@@ -78,9 +98,42 @@
 	}
 }
 
-// claimPartial claims the free part of a member's amount on one further worker for each missing member, so that the claims
-// grow to full members as tasks end there.
-func (p *pass) claimPartial(ts *taskSet, members int) {
+// claimPartial claims what is free of the amounts of a gang's missing members where they are expected to fit first, so that the
+// claims grow to full members as tasks end there. It returns the workers, and when all members are expected to fit: unlimited
+// if that isn't soon.
+func (p *pass) claimPartial(ts *taskSet, chosen []*worker, missing int) (workers []*worker, startAt time.Duration) {
+	type opening struct {
+		w  *worker
+		at time.Duration
+	}
+	members := make(map[*worker]int)
+	for _, w := range chosen {
+		members[w]++
+	}
+	var openings []opening
+	for _, w := range p.mostlyFree(ts, partialCandidates*missing) {
+		n := missing
+		if ts.spec.MaxTasksPerWorker > 0 {
+			n = min(n, ts.spec.MaxTasksPerWorker-ts.onWorker[w.ID]-members[w])
+		}
+		for _, at := range p.openings(w, ts, n) {
+			openings = append(openings, opening{w: w, at: at})
+		}
+	}
+	if len(openings) < missing {
+		return nil, unlimited
+	}
+	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
+	for _, o := range openings[:missing] {
+		p.claim(o.w, ts, p.available(o.w, ts).Min(ts.amount).Max(pj.Resources{}))
+		workers = append(workers, o.w)
+		startAt = o.at
+	}
+	return workers, startAt
+}
+
+// mostlyFree returns up to n workers on which a task could run, those with the greatest free part of its amount.
+func (p *pass) mostlyFree(ts *taskSet, n int) []*worker {
 	type workerShare struct {
 		w     *worker
 		share float64
@@ -88,13 +141,15 @@
 	var candidates []workerShare
 	for w := range p.eligible(ts) {
 		if ts.amount.FitsWhereUsed(w.Capacity) {
-			candidates = append(candidates, workerShare{w: w, share: availableShare(p.available(w), ts.amount)})
+			candidates = append(candidates, workerShare{w: w, share: availableShare(p.available(w, ts), ts.amount)})
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b workerShare) int { return cmp.Compare(b.share, a.share) })
-	for _, cand := range candidates[:min(members, len(candidates))] {
-		p.claim(cand.w, p.available(cand.w).Min(ts.amount).Max(pj.Resources{}))
+	workers := make([]*worker, min(n, len(candidates)))
+	for i := range workers {
+		workers[i] = candidates[i].w
 	}
+	return workers
 }
 
 // availableShare returns the fraction of an amount that is free, in the scarcest dimension.
@@ -125,20 +180,7 @@
 func (p *pass) claimGang(ts *taskSet, n int) []*worker {
 	chosen := p.pack(ts, n, false)
 	for _, w := range chosen {
-		p.claim(w, ts.amount)
+		p.claim(w, ts, ts.amount)
 	}
 	return chosen
 }
-
-// fitsWhenIdle reports whether the allowed workers could hold the gang if nothing ran on them.
-func (p *pass) fitsWhenIdle(ts *taskSet, n int) bool {
-	capacity := 0
-	for w := range p.eligible(ts) {
-		each := ts.amount.FitCount(w.Capacity)
-		if ts.spec.MaxTasksPerWorker > 0 {
-			each = min(each, ts.spec.MaxTasksPerWorker)
-		}
-		capacity += each
-	}
-	return capacity >= n
-}
--- a/internal/control/runs/pass.go
+++ b/internal/control/runs/pass.go
@@ -18,14 +18,16 @@
 	workers       []*worker           // schedulable workers, sorted by ID
 	visits        int                 // pairs of a task set and a worker that were examined
 	claimingGangs int                 // gangs that claim capacity while they wait for more
-	blockedBy     map[string]*taskSet // by workspace: the task set that its upper limit blocks; later ones of the workspace wait too
+	blockedBy     map[string]*taskSet // by workspace: the task set that its upper limit blocks for a short time; later ones of the workspace wait too
+
+	endingByWorkspace map[string]pj.Resources // see endingSoon; used in this pass only
 
 	noAdvisorShort, noAdvisorLong bool // no VM is available for a short or a long query
 }
 
 func (c *Controller) newPass(now time.Duration) *pass {
 	c.passes++
-	p := &pass{c: c, now: now, number: c.passes, workers: c.passWorkers[:0], blockedBy: make(map[string]*taskSet)}
+	p := &pass{c: c, now: now, number: c.passes, workers: c.passWorkers[:0], blockedBy: make(map[string]*taskSet), endingByWorkspace: make(map[string]pj.Resources)}
 	for _, w := range c.sortedWorkers {
 		if w.schedulable(now) {
 			w.eligibleIn = p.number
@@ -36,25 +38,50 @@
 	return p
 }
 
-// available returns the free capacity of a worker without the claims of earlier task sets.
-func (p *pass) available(w *worker) pj.Resources {
+// claim is capacity of a worker that a waiting task set keeps from later ones until the end of the pass.
+type claim struct {
+	owner  *taskSet
+	amount pj.Resources
+	until  time.Duration // when the owner is expected to start; work that ends before may use the capacity
+}
+
+// available returns the free capacity of a worker for a task set, without the claims of earlier task sets.
+func (p *pass) available(w *worker, ts *taskSet) pj.Resources {
+	free := w.free
 	if w.claimedIn != p.number {
-		return w.free
+		return free
 	}
-	return w.free.Sub(w.claimed)
+	for i := range w.claims {
+		if cl := &w.claims[i]; cl.owner == ts || ts.runTime == 0 || p.now+ts.runTime > cl.until {
+			free = free.Sub(cl.amount)
+		}
+	}
+	return free
 }
 
-// claim sets capacity of a worker aside until the end of the pass; a negative amount releases it.
-func (p *pass) claim(w *worker, amount pj.Resources) {
+// claim sets capacity of a worker aside until the end of the pass.
+func (p *pass) claim(w *worker, ts *taskSet, amount pj.Resources) {
 	if w.claimedIn != p.number {
-		w.claimedIn, w.claimed = p.number, pj.Resources{}
+		w.claimedIn, w.claims = p.number, w.claims[:0]
 	}
-	w.claimed = w.claimed.Add(amount)
+	w.claims = append(w.claims, claim{owner: ts, amount: amount})
 }
 
-func (p *pass) releaseClaims(workers []*worker, amount pj.Resources) {
+// releaseClaims ends the claims of a task set on the given workers.
+func (p *pass) releaseClaims(ts *taskSet, workers []*worker) {
 	for _, w := range workers {
-		p.claim(w, pj.Resources{}.Sub(amount))
+		w.claims = slices.DeleteFunc(w.claims, func(cl claim) bool { return cl.owner == ts })
+	}
+}
+
+// extendClaims sets the time at which a task set with claims on the given workers is expected to start.
+func (p *pass) extendClaims(ts *taskSet, workers []*worker, until time.Duration) {
+	for _, w := range workers {
+		for i := range w.claims {
+			if w.claims[i].owner == ts {
+				w.claims[i].until = until
+			}
+		}
 	}
 }
 
@@ -117,7 +144,7 @@
 func (p *pass) pack(ts *taskSet, n int, validOnly bool) []*worker {
 	var candidates []candidate
 	for w, t := range p.eligible(ts) {
-		if !ts.amount.FitsWhereUsed(p.available(w)) || (validOnly && !t.valid(p.now)) {
+		if !ts.amount.FitsWhereUsed(p.available(w, ts)) || (validOnly && !t.valid(p.now)) {
 			continue
 		}
 		if capacity := p.capacityFor(w, ts); capacity > 0 {
@@ -140,7 +167,7 @@
 
 // capacityFor returns how many tasks of a task set could start on a worker now.
 func (p *pass) capacityFor(w *worker, ts *taskSet) int {
-	capacity := ts.amount.FitCount(p.available(w))
+	capacity := ts.amount.FitCount(p.available(w, ts))
 	if ts.spec.MaxTasksPerWorker > 0 {
 		capacity = min(capacity, ts.spec.MaxTasksPerWorker-ts.onWorker[w.ID])
 	}
@@ -151,7 +178,7 @@
 // workflow, not about to be used by a gang, and with the
 // least capacity left over.
 func (p *pass) score(w *worker, ts *taskSet) float64 {
-	leftover := p.available(w).Sub(ts.amount)
+	leftover := p.available(w, ts).Sub(ts.amount)
 	score := leftover.DominantShare(w.Capacity)
 	if ts.spec.DataRack != "" && ts.spec.DataRack != w.Rack {
 		score += 2
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -52,6 +52,7 @@
 	ts.onWorker[v.worker.ID]++
 	c.ledger.Charge(ts.record.Workflow.Workspace, ts.amount)
 	c.usage.add(c.options.Clock.Now(), ts.record.Workflow.Workspace, ts.record.Workflow.Priority, ts.amount)
+	c.runsOf(ts.record.Workflow.Workspace)[v] = struct{}{}
 }
 
 func (c *Controller) release(v *run) {
@@ -62,9 +63,20 @@
 	ts.onWorker[v.worker.ID]--
 	c.ledger.Refund(ts.record.Workflow.Workspace, ts.amount)
 	c.usage.add(c.options.Clock.Now(), ts.record.Workflow.Workspace, ts.record.Workflow.Priority, pj.Resources{}.Sub(ts.amount))
+	delete(c.runsOf(ts.record.Workflow.Workspace), v)
 	c.dirty = true
 }
 
+// runsOf returns the runs of a workspace that hold capacity.
+func (c *Controller) runsOf(workspace string) map[*run]struct{} {
+	live := c.byWorkspace[workspace]
+	if live == nil {
+		live = make(map[*run]struct{})
+		c.byWorkspace[workspace] = live
+	}
+	return live
+}
+
 // startCommitted sends the start order of a run whose start was accepted by the state machine; otherwise it requeues the task.
 func (c *Controller) startCommitted(v *run, accepted bool) {
 	if !accepted {
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -22,6 +22,7 @@
 func (c *Controller) schedule(now time.Duration) {
 	p := c.newPass(now)
 	for _, ts := range c.ranked(now) {
+		ts.runTime = c.expectedRunTime(ts)
 		if ts.spec.Gang {
 			p.scheduleGang(ts)
 		} else {
@@ -92,8 +93,7 @@
 }
 
 // withinLimit reports whether the workspace's upper limit permits starting the given amount. A task set blocked by the
-// limit also blocks the later work of its workspace in this pass, unless the amount exceeds the limit by itself and could
-// never start.
+// limit also blocks the later work of its workspace in this pass, if enough of the limit is expected to be free soon.
 func (p *pass) withinLimit(ts *taskSet, amount pj.Resources) bool {
 	workspace := ts.record.Workflow.Workspace
 	if p.c.options.State.Rules().Workspace(workspace) == nil {
@@ -102,12 +102,13 @@
 	if p.blockedBy[workspace] != nil {
 		return false
 	}
-	headroom := p.c.usage.headroom(p.now, workspace, ts.record.Workflow.Priority)
+	headroom := p.headroom(ts)
 	if p.c.ledger.Allows(workspace, amount.Add(headroom)) {
 		return true
 	}
-	if amount.FitsWhereUsed(p.c.ledger.Limit(workspace)) {
+	if p.mayHold(ts) && p.limitFreeSoon(workspace, amount) {
 		p.blockedBy[workspace] = ts
+		p.hold(ts, "limit")
 	}
 	if !ts.limitLogged {
 		ts.limitLogged = true
@@ -121,8 +122,14 @@
 func (p *pass) requestTaskTickets(ts *taskSet) {
 	expired := make(map[string]struct{})
 	chosen := p.pack(ts, len(ts.pending), false)
+	hold := len(chosen) > 0 && p.mayHold(ts)
+	if hold {
+		p.hold(ts, "workers")
+	}
 	for _, w := range chosen {
-		p.claim(w, ts.amount)
+		if hold {
+			p.claim(w, ts, ts.amount)
+		}
 		expired[w.ID] = struct{}{}
 	}
 	p.requestTickets(ts, expired, len(ts.pending)-len(chosen))
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -52,8 +52,8 @@
 	nextPollAt        time.Duration
 	unhealthyUntil    time.Duration // until then, the worker receives no new task
 	eligibleIn        uint64        // last pass in which it may receive new tasks
-	claimedIn         uint64        // pass to which claimed belongs
-	claimed           pj.Resources  // by task sets that wait for more capacity
+	claimedIn         uint64        // pass to which claims belong
+	claims            []claim       // of task sets that wait for more capacity
 	earmarkedFor      *taskSet      // gang that is about to start here; see pass.earmark
 	earmarkedUntil    time.Duration
 	slowness          float64 // moving average of the time of a run here, as a multiple of its queue's mean; 0 without a sample
