Runs: blocked work of one workspace takes no places of the others in a pass

Cause: a pass considered the first 400 waiting task sets, whether they could start or not. Change: the 400 places are shared between the workspaces with waiting work; one that its limit blocked in the last pass has eight. 100 of them go to task sets behind the first ones, which take turns, so whatever blocks those in front, each has its turn. Why it works: the cost of a pass stays bounded, and a task set that can start is considered within (waiting / 100) passes.

--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -12,10 +12,9 @@
 // Limits of a scheduling pass. A pass costs more the more work waits. Without a pause that grows with its cost, a backlog
 // takes the time of the events that would end it.
 const (
-	maxTaskSetsPerPass = 400  // task sets that one pass considers
-	visitsPerMS        = 1000 // worker visits per millisecond of pause after a pass
-	passPause          = 4    // least pause after a pass, as a multiple of the time that it took: passes take a fifth of the time
-	maxPassInterval    = 50 * time.Millisecond
+	visitsPerMS     = 1000 // worker visits per millisecond of pause after a pass
+	passPause       = 4    // least pause after a pass, as a multiple of the time that it took: passes take a fifth of the time
+	maxPassInterval = 50 * time.Millisecond
 )
 
 // schedule runs one scheduling pass.
@@ -32,6 +31,9 @@
 			c.dequeue(ts)
 		}
 	}
+	for workspace := range p.blockedBy {
+		c.queueOf(workspace).blockedIn = p.number
+	}
 	ended := c.options.Clock.Now()
 	pause := max(time.Duration(p.visits/visitsPerMS)*time.Millisecond, passPause*(ended-now))
 	c.nextPassAt = ended + min(pause, maxPassInterval)
@@ -46,9 +48,9 @@
 // ranked returns the task sets to consider, in scheduling order. Within a priority, work that can still meet its objective
 // precedes work that can't, so that a backlog doesn't delay all work submitted after it.
 func (c *Controller) ranked(now time.Duration) []*taskSet {
-	sets := make([]rankedSet, min(len(c.ready), maxTaskSetsPerPass))
-	for i := range sets {
-		ts := c.ready[i]
+	selected := c.selectTaskSets(c.passes)
+	sets := make([]rankedSet, len(selected))
+	for i, ts := range selected {
 		sets[i] = rankedSet{taskSet: ts, priority: ts.record.Workflow.Priority, overShare: c.overShare(ts), lateness: ts.lateness(now)}
 	}
 	slices.SortStableFunc(sets, func(a, b rankedSet) int {
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -15,10 +15,12 @@
 	record      *workflow.Record
 	spec        *pj.Step
 	amount      pj.Resources // resources of one task
+	queue       *workspaceQueue
 	pending     []int        // task indexes
 	live        map[int]*run // by task index
 	onWorker    map[string]int
 	queued      bool
+	selectedIn  uint64        // last pass that considered it
 	readySince  time.Duration // when its tasks could first start
 	objectiveAt time.Duration // when the workflow should be complete
 	deadline    time.Duration // when the result of the workflow is of no use any more
@@ -46,7 +48,7 @@
 	objective := c.durations.objective(&r.Workflow)
 	accepted := now - time.Duration(c.options.UnixMilli()-r.Workflow.AcceptedAt)*time.Millisecond
 	ts := &taskSet{
-		id: id, record: r, spec: spec, amount: spec.Reservation(), readySince: now,
+		id: id, record: r, spec: spec, amount: spec.Reservation(), readySince: now, queue: c.queueOf(r.Workflow.Workspace),
 		live: make(map[int]*run), onWorker: make(map[string]int),
 		objectiveAt: accepted + objective, deadline: accepted + deadlineFactor*objective, remaining: c.durations.criticalPath(&r.Workflow, id.Step),
 		querying: make(map[string]struct{}), queried: make(map[string]bool), ticketFor: make(map[string]*ticket),
@@ -111,6 +113,7 @@
 	}
 	at, _ := slices.BinarySearchFunc(c.ready, ts, (*taskSet).compare)
 	c.ready = slices.Insert(c.ready, at, ts)
+	c.addWaiting(ts, 1)
 	ts.queued = true
 	c.dirty = true
 }
@@ -137,6 +140,7 @@
 	ts.queued = false
 	if at, ok := slices.BinarySearchFunc(c.ready, ts, (*taskSet).compare); ok {
 		c.ready = slices.Delete(c.ready, at, at+1)
+		c.addWaiting(ts, -1)
 	}
 }
 
