Entry: a call that the held rules refuse waits for newer ones for 0.1 s at most

Cause: a call that the held rules refuse waited for newer ones without a bound, as long as there was no leader, and was then answered by these, while calls that were sent meanwhile were answered by the held ones at once. TestRefusedCallDoesNotOvertake and a case of TestPermissionAfterWait fail before. Change: the wait ends after 0.1 s, well below the slack of 250 ms, with 503, when to come back, and call_undecided in the log. After a wait a call whose key or path belongs to another workspace or queue is refused instead of being carried out for the one before. Why it works: calls that are sent 250 ms apart are decided at most 0.1 s after they came, by rules that never go back. Weighed: later calls wait too (all calls would wait for a lost leader).

--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/singleflight"
 
 	pj "papayajunction"
 	"papayajunction/internal/control/bootclock"
@@ -71,10 +72,11 @@
 	operations    operation.Table
 	replica       *replica // nil on an entry
 	finalStates   finalStateCache
-	limiter       *limiter      // of calls to the leader on behalf of callers
-	syncing       chan struct{} // holds an element while an exchange about rules is in progress
-	leaderChanged chan struct{} // wakes the sync loop
-	receivedCalls atomic.Int64  // operations that other VMs have called here
+	limiter       *limiter           // of calls to the leader on behalf of callers
+	syncing       chan struct{}      // holds an element while an exchange about rules is in progress
+	refusalSyncs  singleflight.Group // exchanges for requests that the held rules refuse
+	leaderChanged chan struct{}      // wakes the sync loop
+	receivedCalls atomic.Int64       // operations that other VMs have called here
 
 	mu            sync.Mutex
 	members       []string // VMs of the group, as of the leader's last sync reply
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -42,16 +42,14 @@
 }
 
 // Authorise checks a request against the rules. Before it refuses a request, it fetches newer rules if this VM's are older
-// than maxRefusalRulesAge.
+// than maxRefusalRulesAge. If that takes longer than maxRulesWait, the request may be sent again later.
 func (v *VM) Authorise(ctx context.Context, request pj.CallerRequest) (pj.Authorization, error) {
 	a, err := v.authorise(request)
 	if err == nil || pj.AsError(err).Code == pj.CodeKeysUnknown {
 		return a, err
 	}
-	if v.ruleCache.SinceConfirmed() > maxRefusalRulesAge {
-		if err := v.SyncRules(ctx); err != nil {
-			return pj.Authorization{}, v.rulesUnconfirmed(err)
-		}
+	if err := v.confirmRules(ctx); err != nil {
+		return pj.Authorization{}, v.rulesUnconfirmed(request, err)
 	}
 	a, err = v.authorise(request)
 	if err != nil {
@@ -61,8 +59,39 @@
 	return a, err
 }
 
-// maxRefusalRulesAge is the maximum age of the rules by which a request is refused.
-const maxRefusalRulesAge = 100 * time.Millisecond
+// Limits of the time for which a request that the held rules refuse waits for newer ones.
+const (
+	maxRefusalRulesAge = 100 * time.Millisecond // of the rules by which a request is refused
+	maxRulesWait       = 100 * time.Millisecond // later requests are handled by the held rules meanwhile, so an answer by newer ones must not come late
+	maxSyncTime        = time.Second            // of an exchange that goes on for other requests
+	maxSyncs           = 2                      // exchanges that one request waits for: the first may have begun before
+)
+
+// confirmRules waits until the held rules are no older than maxRefusalRulesAge, for at most maxRulesWait. Requests share an
+// exchange, which goes on when they no longer wait.
+func (v *VM) confirmRules(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, maxRulesWait)
+	defer cancel()
+	exchange := func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxSyncTime)
+		defer cancel()
+		return nil, v.SyncRules(ctx)
+	}
+	for range maxSyncs {
+		if v.ruleCache.SinceConfirmed() <= maxRefusalRulesAge {
+			return nil
+		}
+		select {
+		case r := <-v.refusalSyncs.DoChan("", exchange):
+			if r.Err != nil {
+				return fmt.Errorf("fetch newer rules: %w", r.Err)
+			}
+		case <-ctx.Done():
+			return fmt.Errorf("wait for newer rules: %w", ctx.Err())
+		}
+	}
+	return nil
+}
 
 // maxLoggedBytes is the maximum length of a caller's text in a log line.
 const maxLoggedBytes = 64
@@ -71,8 +100,10 @@
 	return text[:min(len(text), maxLoggedBytes)]
 }
 
-// rulesUnconfirmed returns the error with which a request is refused if the leader can't confirm the rules.
-func (v *VM) rulesUnconfirmed(err error) error {
+// rulesUnconfirmed returns the error with which a request is refused if the leader can't confirm the rules in time.
+func (v *VM) rulesUnconfirmed(request pj.CallerRequest, err error) error {
+	v.log("call_undecided", "host", truncate(request.Host()), "path", truncate(request.Path()), "rules_version", v.ruleCache.Rules().Version,
+		"confirmed_before", v.ruleCache.SinceConfirmed(), "err", err)
 	e := pj.Refuse(pj.CodeKeysUnknown, "the rules can't be confirmed: %v", err)
 	e.RetryAfter = pj.Duration(time.Second)
 	return e
@@ -104,14 +135,22 @@
 	return refused, pj.Refuse(pj.CodeWrongKey, "the key is not known or was withdrawn")
 }
 
-// recheck returns nil if a request is still permitted: the rules may have changed since it was authorised, or this VM may have
-// been suspended.
+// recheck returns nil if a request is still permitted on behalf of the same workspace: the rules may have changed since it was
+// authorised, or this VM may have been suspended.
 func (v *VM) recheck(ctx context.Context, a pj.Authorization) error {
 	if v.ruleCache.Rules().Version == a.RulesVersion() {
 		return v.ruleCache.CheckLease()
 	}
-	_, err := v.Authorise(ctx, a.Request())
-	return err
+	now, err := v.Authorise(ctx, a.Request())
+	if err != nil {
+		return err
+	}
+	if now.Workspace() != a.Workspace() || now.Route().Name != a.Route().Name {
+		e := pj.Refuse(pj.CodeKeysUnknown, "the key or the path has changed hands while the request waited")
+		e.RetryAfter = pj.Duration(time.Second)
+		return e
+	}
+	return nil
 }
 
 // callLeaderFor runs an operation on the leader on behalf of a caller, within the limit of concurrent calls. The request is
--- a/internal/server/cluster/rules_test.go
+++ b/internal/server/cluster/rules_test.go
@@ -144,6 +144,11 @@
 		rules.Workspaces = []pj.KeyedWorkspace{{Workspace: pj.Workspace{Name: "team"}, Keys: keys}}
 		return rules
 	}
+	otherTeam := func(version int64) *pj.Ruleset {
+		rules := withKey(version, "key")
+		rules.Workspaces[0].Name = "other"
+		return rules
+	}
 	tests := map[string]struct {
 		meanwhile func(v *VM, clock *fixedClock)
 		code      pj.Code // of the refusal, "" if the call is made
@@ -152,6 +157,7 @@
 		"newer rules permit it": {meanwhile: func(v *VM, c *fixedClock) { v.ruleCache.Update(c.now, 2, withKey(2, "other", "key")) }},
 		"the key is withdrawn":  {meanwhile: func(v *VM, c *fixedClock) { v.ruleCache.Update(c.now, 2, withKey(2, "other")) }, code: pj.CodeWrongKey},
 		"the queue is removed":  {meanwhile: func(v *VM, c *fixedClock) { v.ruleCache.Update(c.now, 2, rulesOf(2)) }, code: pj.CodeUnknownQueue},
+		"the key changes hands": {meanwhile: func(v *VM, c *fixedClock) { v.ruleCache.Update(c.now, 2, otherTeam(2)) }, code: pj.CodeKeysUnknown},
 		"the VM was suspended":  {meanwhile: func(_ *VM, c *fixedClock) { c.now += rulecache.DefaultLease }, code: pj.CodeKeysUnknown},
 	}
 	for name, tc := range tests {
@@ -190,6 +196,49 @@
 	}
 }
 
+// TestRefusedCallDoesNotOvertake guards against an entry that seems to go back to older rules: a call that the held rules refuse waited
+// for newer ones without a bound and was then answered by them, while calls that were sent later were answered by the held ones.
+func TestRefusedCallDoesNotOvertake(t *testing.T) {
+	is := is.New(t)
+	rulesWith := func(version int64, queue string) *pj.Ruleset {
+		rules := rulesOf(version)
+		rules.Routes = []pj.Route{{Name: queue, Host: "h", PathPrefix: "/" + queue + "/", Open: true}}
+		return rules
+	}
+	release := make(chan struct{})
+	endWait := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(endWait)
+	v := newSyncingVM(startStub(t, stubVM{opSync: func([]byte) any {
+		<-release // there is no leader for a while
+		return syncReply{Version: 2, Rules: rulesWith(2, "new")}
+	}}))
+	clock := v.clock.(*fixedClock) //nolint:forcetypeassert // newSyncingVM sets it
+	v.ruleCache.Update(clock.now, 1, rulesWith(1, "old"))
+	clock.now += maxRefusalRulesAge + 1
+	earlier := make(chan error)
+	go func() {
+		_, err := v.Authorise(t.Context(), pj.NewCallerRequest("h", "/new/", ""))
+		earlier <- err
+	}()
+	time.AfterFunc(2*time.Second, endWait) // if the call waits for the exchange, it succeeds
+	err := <-earlier
+	if err == nil {
+		t.Fatal("the call is answered by newer rules than a call that was sent meanwhile")
+	}
+	later, laterErr := v.Authorise(t.Context(), pj.NewCallerRequest("h", "/old/", ""))
+	is.NoErr(laterErr)
+	is.Equal(later.RulesVersion(), int64(1))
+	is.Equal(pj.AsError(err).Code, pj.CodeKeysUnknown)
+	is.True(pj.AsError(err).NotRun)
+	is.True(pj.AsError(err).RetryAfter > 0)
+	endWait()
+	for v.ruleCache.Rules().Version != 2 { // the exchange goes on
+		time.Sleep(time.Millisecond)
+	}
+	_, err = v.Authorise(t.Context(), pj.NewCallerRequest("h", "/new/", ""))
+	is.NoErr(err)
+}
+
 // TestSyncEndsWithCaller guards against a caller that waits longer than its deadline for the exchange of another one.
 func TestSyncEndsWithCaller(t *testing.T) {
 	is := is.New(t)
