Runs: holds last longer while most of the fleet or of the limit is in use, and pause only after holds

Cause: a hold of 2.5 s is shorter than the tasks that it waits for; mayHold counted each time it was asked. Evidence: TestHoldsPauseOnlyAfterHolds failed before (0 of 2 members started). Change: while at least half of the fleet (of the limit) is in use a hold may last, and look ahead, 10 s; else 2.5 s. Limits and workers have holds of their own, counted when they begin. Long-running tasks that have waited for 2.5 s don't wait for holds. maySendEntries in quorum names one condition.

--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -79,7 +79,7 @@
 		return
 	}
 	var entries []pj.LogEntry
-	if c.mayPipeline(now, p) || (p.probing && !p.probeSent && (heartbeat || p.responded || p.next == p.match+1)) {
+	if c.maySendEntries(now, p, heartbeat) {
 		entries = c.log.slice(p.next, c.log.lastIndex(), c.options.MaxBatchBytes)
 	}
 	if len(entries) == 0 && !heartbeat {
@@ -99,9 +99,13 @@
 	}
 }
 
-// mayPipeline reports whether further entries may be sent to a member before it has acknowledged the last ones.
-func (c *Core) mayPipeline(now time.Duration, p *progress) bool {
-	return !p.probing && !c.shouldDelayEntries(now, p)
+// maySendEntries reports whether entries may be sent to a member now: once while probing, and then before it has acknowledged
+// the last ones.
+func (c *Core) maySendEntries(now time.Duration, p *progress, heartbeat bool) bool {
+	if p.probing {
+		return !p.probeSent && (heartbeat || p.responded || p.next == p.match+1)
+	}
+	return !c.shouldDelayEntries(now, p)
 }
 
 // shouldDelayEntries reports whether entries for a member must wait: until minAppendInterval has
--- a/internal/control/runs/gang.go
+++ b/internal/control/runs/gang.go
@@ -49,22 +49,22 @@
 // holdForGang keeps the capacity that a gang has claimed, and claims more for its missing members. It reports false if the gang is
 // not expected to start soon, or has held capacity for too long.
 func (p *pass) holdForGang(ts *taskSet, chosen []*worker, missing int) bool {
-	if !p.mayHold(ts) {
+	idle := p.poolIdle(ts.record.Workflow.Pool)
+	if !ts.workerHold.allowed(p.now, idle) {
 		return false
 	}
 	if missing > 0 {
 		if p.claimingGangs >= maxClaimingGangs {
 			return false
 		}
-		partial, startAt := p.claimPartial(ts, chosen, missing)
-		if startAt > p.now+maxHold {
-			p.releaseClaims(ts, partial)
+		partial, startAt := p.claimPartial(ts, chosen, missing, horizon(idle))
+		if len(partial) < missing {
 			return false
 		}
 		p.claimingGangs++
 		p.extendClaims(ts, slices.Concat(chosen, partial), startAt)
 	}
-	p.hold(ts, "workers")
+	p.keepHold(ts, &ts.workerHold, "workers")
 	return true
 }
 
@@ -99,9 +99,9 @@
 }
 
 // claimPartial claims what is free of the amounts of a gang's missing members where they are expected to fit first, so that the
-// claims grow to full members as tasks end there. It returns the workers, and when all members are expected to fit: unlimited
-// if that isn't soon.
-func (p *pass) claimPartial(ts *taskSet, chosen []*worker, missing int) (workers []*worker, startAt time.Duration) {
+// claims grow to full members as tasks end there. It returns the workers, and when all members are expected to fit; no workers
+// if that isn't within the given time.
+func (p *pass) claimPartial(ts *taskSet, chosen []*worker, missing int, within time.Duration) (workers []*worker, startAt time.Duration) {
 	type opening struct {
 		w  *worker
 		at time.Duration
@@ -116,12 +116,12 @@
 		if ts.spec.MaxTasksPerWorker > 0 {
 			n = min(n, ts.spec.MaxTasksPerWorker-ts.onWorker[w.ID]-members[w])
 		}
-		for _, at := range p.openings(w, ts, n) {
+		for _, at := range p.openings(w, ts, n, within) {
 			openings = append(openings, opening{w: w, at: at})
 		}
 	}
 	if len(openings) < missing {
-		return nil, unlimited
+		return nil, 0
 	}
 	slices.SortStableFunc(openings, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
 	for _, o := range openings[:missing] {
--- a/internal/control/runs/hold_test.go
+++ b/internal/control/runs/hold_test.go
@@ -97,6 +97,34 @@
 	}
 }
 
+// TestHoldsPauseOnlyAfterHolds: a gang that could not hold anything for long isn't kept from holding later.
+func TestHoldsPauseOnlyAfterHolds(t *testing.T) {
+	s := newSimulation(newCell(t, 2))
+	s.publishTwo(1000, 1000)
+	s.start("batch", "team", 0, 20*time.Second, cores(2, 5))
+	s.start("gang", "team", 0, time.Second, gangOf(2, 8)) // waits for the end of the long tasks
+	s.run(19 * time.Second)
+	for i := range 40 {
+		s.start(fmt.Sprintf("later-%d", i), "team", 0, 5*time.Second, cores(2, 3))
+	}
+	s.is.Equal(len(s.started["gang"]), 2)
+}
+
+// TestLongRunningTasksPassHolds guards against services that are away for long: a gang that waits on a busy fleet holds free workers
+// for seconds, but tasks that are to run all the time don't wait for that.
+func TestLongRunningTasksPassHolds(t *testing.T) {
+	s := newSimulation(newCell(t, 4))
+	s.publishTwo(1000, 1000)
+	s.start("batch", "team", 0, 9*time.Second, cores(2, 8))
+	s.start("gang", "team", 0, time.Second, gangOf(3, 8))
+	s.start("later", "other", 2, 20*time.Second, cores(1, 1))
+	s.run(heldWithin)
+	s.is.Equal(len(s.started["later"]), 0)
+	s.start("service", "other", 2, 0, cores(1, 1))
+	s.run(heldWithin)
+	s.is.Equal(len(s.started["service"]), 1)
+}
+
 // TestHeadroomEnds guards against work that waits although nothing else of its workspace runs: what urgent work had used a while ago
 // was kept free for over a minute, so that work as large as the limit did not start.
 func TestHeadroomEnds(t *testing.T) {
--- a/internal/control/runs/pass.go
+++ b/internal/control/runs/pass.go
@@ -20,14 +20,18 @@
 	claimingGangs int                 // gangs that claim capacity while they wait for more
 	blockedBy     map[string]*taskSet // by workspace: the task set that its upper limit blocks for a short time; later ones of the workspace wait too
 
-	endingByWorkspace map[string]pj.Resources // see endingSoon; used in this pass only
+	ending    map[endingKey]pj.Resources // results of endingWithin
+	idlePools map[string]bool            // results of poolIdle
 
 	noAdvisorShort, noAdvisorLong bool // no VM is available for a short or a long query
 }
 
 func (c *Controller) newPass(now time.Duration) *pass {
 	c.passes++
-	p := &pass{c: c, now: now, number: c.passes, workers: c.passWorkers[:0], blockedBy: make(map[string]*taskSet), endingByWorkspace: make(map[string]pj.Resources)}
+	p := &pass{
+		c: c, now: now, number: c.passes, workers: c.passWorkers[:0],
+		blockedBy: make(map[string]*taskSet), ending: make(map[endingKey]pj.Resources), idlePools: make(map[string]bool),
+	}
 	for _, w := range c.sortedWorkers {
 		if w.schedulable(now) {
 			w.eligibleIn = p.number
@@ -51,10 +55,14 @@
 	if w.claimedIn != p.number {
 		return free
 	}
+	passes := p.passesHolds(ts)
 	for i := range w.claims {
-		if cl := &w.claims[i]; cl.owner == ts || ts.runTime == 0 || p.now+ts.runTime > cl.until {
-			free = free.Sub(cl.amount)
+		cl := &w.claims[i]
+		endsBefore := ts.runTime != 0 && p.now+ts.runTime <= cl.until
+		if cl.owner != ts && (passes || endsBefore) {
+			continue
 		}
+		free = free.Sub(cl.amount)
 	}
 	return free
 }
@@ -174,9 +182,8 @@
 	return capacity
 }
 
-// score returns a lower value for a better worker: in the rack of the data, not slow, without failures of the
-// workflow, not about to be used by a gang, and with the
-// least capacity left over.
+// score returns a lower value for a better worker: in the rack of the data, not slow, without failures of the workflow, not about
+// to be used by a gang, and with the least capacity left over.
 func (p *pass) score(w *worker, ts *taskSet) float64 {
 	leftover := p.available(w, ts).Sub(ts.amount)
 	score := leftover.DominantShare(w.Capacity)
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -101,16 +101,15 @@
 	if p.c.options.State.Rules().Workspace(workspace) == nil {
 		return true // work of an open queue or of a removed workspace has no limit
 	}
-	if p.blockedBy[workspace] != nil {
+	if p.blockedBy[workspace] != nil && !p.passesHolds(ts) {
 		return false
 	}
 	headroom := p.headroom(ts)
 	if p.c.ledger.Allows(workspace, amount.Add(headroom)) {
 		return true
 	}
-	if p.mayHold(ts) && p.limitFreeSoon(workspace, amount) {
-		p.blockedBy[workspace] = ts
-		p.hold(ts, "limit")
+	if p.blockedBy[workspace] == nil {
+		p.holdLimit(ts, amount)
 	}
 	if !ts.limitLogged {
 		ts.limitLogged = true
@@ -124,12 +123,12 @@
 func (p *pass) requestTaskTickets(ts *taskSet) {
 	expired := make(map[string]struct{})
 	chosen := p.pack(ts, len(ts.pending), false)
-	hold := len(chosen) > 0 && p.mayHold(ts)
-	if hold {
-		p.hold(ts, "workers")
+	holds := len(chosen) > 0 && ts.workerHold.allowed(p.now, p.poolIdle(ts.record.Workflow.Pool))
+	if holds {
+		p.keepHold(ts, &ts.workerHold, "workers")
 	}
 	for _, w := range chosen {
-		if hold {
+		if holds {
 			p.claim(w, ts, ts.amount)
 		}
 		expired[w.ID] = struct{}{}
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -27,9 +27,8 @@
 	remaining   time.Duration // estimated time of this step and of those that depend on it
 	runTime     time.Duration // expected run time of a task, as of the current pass
 
-	heldSince time.Duration // when the task set began to hold capacity or its workspace's limit; see pass.mayHold
-	heldAt    time.Duration // when it last did
-	holds     int           // how often it did, with pauses in between
+	limitHold  hold // of the rest of its workspace's upper limit
+	workerHold hold // of free workers
 
 	limitLogged bool                // the event held_by_limit was recorded
 	querying    map[string]struct{} // workers named in queries in flight
