Runs: a task of minutes isn't stopped because its percent stays for 2.5 s

Cause: a run without a change of its percent for 2.5 s counted as stalled, whatever a percent of its task takes. Evidence: TestProgress fails before in "a task of minutes, by its estimate" and "by its pace": the run is stopped. Change: a run may stay at one percent for the time of four percents, by its task's expected time or by its own pace, and for 2.5 s at least. Why it works: both figures grow with the task; a task of up to a minute is treated as before, and one that stalls is still stopped (third row).

--- a/internal/control/runs/placement_test.go
+++ b/internal/control/runs/placement_test.go
@@ -1,6 +1,7 @@
 package runs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -122,7 +123,8 @@
 	}
 }
 
-// TestProgress checks which runs are stopped because they make no progress.
+// TestProgress checks which runs are stopped because they make no progress. It guards against tasks of minutes that never end: a run was
+// stopped when its percent stayed the same for 2.5 s, which is less than a percent of such a task takes.
 func TestProgress(t *testing.T) {
 	responses := func(s *order, percent int) map[string]pj.PollResponse {
 		return map[string]pj.PollResponse{s.worker: {Running: []pj.RunStatus{{Run: s.run, Progress: percent}}}}
@@ -135,7 +137,14 @@
 		"no progress":     {step: oneTask(), percents: []int{10, 10, 10, 10, 10, 10, 10}, stopped: true},
 		"steady progress": {step: oneTask(), percents: []int{10, 11, 12, 13, 14, 15, 16}},
 		"brief stall":     {step: oneTask(), percents: []int{10, 10, 10, 11, 11, 11, 12}},
-		"long-running":    {step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), LongRunning: true}, percents: []int{100, 100, 100, 100, 100, 100, 100}},
+		"a task of minutes, by its estimate": {
+			step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), EstimateMS: 300_000}, percents: []int{0, 0, 0, 0, 0, 0, 0, 0, 1},
+		},
+		"a task of minutes, by its pace": {step: oneTask(), percents: []int{0, 0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 2}},
+		"a task of minutes that stalls": {
+			step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), EstimateMS: 300_000}, percents: slices.Repeat([]int{1}, 30), stopped: true,
+		},
+		"long-running": {step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), LongRunning: true}, percents: []int{100, 100, 100, 100, 100, 100, 100}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/runs/progress.go
+++ b/internal/control/runs/progress.go
@@ -9,6 +9,7 @@
 // Limits and weights for the progress and speed of runs.
 const (
 	stallTimeout   = 2500 * time.Millisecond // without progress a run is restarted on another worker; a gang assembles well within it
+	stallPercents  = 4                       // a run whose percents take longer is given the time of so many instead
 	minSpeedSample = 600 * time.Millisecond  // a run younger than this is no sample of its worker's speed
 	slowWeight     = 0.15                    // weight of one run in the moving average of a worker's slowness
 	slowThreshold  = 2.5                     // multiple of the mean run time from which a worker counts as slow; tasks themselves vary up to this
@@ -25,7 +26,7 @@
 	if v.taskSet.spec.LongRunning || v.stopReason != "" || v.ending || status.Progress >= 100 {
 		return
 	}
-	if now >= v.progressedAt+stallTimeout {
+	if now >= v.progressedAt+c.stallTimeout(v) {
 		v.worker.unhealthyUntil = max(v.worker.unhealthyUntil, now+stallBackoff)
 		c.stop(v, "the run makes no progress")
 		return
@@ -33,6 +34,15 @@
 	c.recordSpeed(now, v, status)
 }
 
+// stallTimeout returns how long a run may stay at one percent, by the expected run time of its task and by its own pace so far.
+func (c *Controller) stallTimeout(v *run) time.Duration {
+	percent := c.expectedRunTime(v.taskSet) / 100
+	if v.progress > 0 {
+		percent = max(percent, (v.progressedAt-v.startedAt)/time.Duration(v.progress))
+	}
+	return max(stallTimeout, stallPercents*percent)
+}
+
 // recordSpeed updates the worker's slowness from a run in progress. Runs with a checkpoint are skipped, because their
 // percentage includes the work of earlier runs.
 func (c *Controller) recordSpeed(now time.Duration, v *run, status *pj.RunStatus) {
