--- a/internal/control/runs/announcement_test.go
+++ b/internal/control/runs/announcement_test.go
@@ -139,3 +139,25 @@
 	x.flush()
 	x.is.Equal(len(x.orders.take("start")), 0)
 }
+
+// TestJoiningWorkerIsPolled guards against workers that join in vain: one that joined, or came back, more than 30 s after an election
+// counted as silent since then, and was removed unless it answered its first poll before the next tick.
+func TestJoiningWorkerIsPolled(t *testing.T) {
+	tests := map[string]pj.PolledWorker{
+		"a new worker":              testWorker("w1"),
+		"a restart of a silent one": announced("w0", func(w *pj.PolledWorker) { w.Incarnation += time.Minute.Milliseconds() }),
+	}
+	for name, worker := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			x.advance(29 * time.Second)
+			x.orders.take("poll")
+			x.advance(2 * time.Second) // w0 doesn't answer for longer than removeAfter
+			x.clock.now += time.Second
+			x.is.NoErr(x.announce(worker))
+			x.advance(500 * time.Millisecond)
+			_, known := x.group.state.Worker(worker.ID)
+			x.is.True(known)
+		})
+	}
+}
