Runs: another workflow under an id in use is refused

Cause: any submission under a recorded id was taken for a repetition. Evidence: TestIDOfAnotherWorkflow fails before in six of ten cases. Change: a submission with other tasks, another specification, another schedule or of another workspace is refused with 409. It certainly doesn't run. The same work by changed rules, or after its key was withdrawn, is still one job. Why it works: the comparison is with what was stored, both before and after the commit.

--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -1,14 +1,17 @@
 package runs
 
 import (
+	"reflect"
+	"slices"
+
 	pj "papayajunction"
 	"papayajunction/internal/control/workflow"
 )
 
-// Submit commits a workflow and then calls done. Submitting the same workflow again has no effect.
+// Submit commits a workflow and then calls done. Submitting the same workflow again has no effect; another one under its id is refused.
 func (c *Controller) Submit(w pj.Workflow, done func(error)) {
-	if c.options.State.Record(w.ID) != nil {
-		done(nil) // accepted before
+	if r := c.options.State.Record(w.ID); r != nil {
+		done(resubmitted(r, &w))
 		return
 	}
 	w.AcceptedAt = c.options.UnixMilli()
@@ -17,7 +20,11 @@
 			done(err)
 			return
 		}
-		if r.New && !c.closed {
+		if !r.New {
+			done(resubmitted(r.Record, &w))
+			return
+		}
+		if !c.closed {
 			c.options.Events.Record("workflow_accepted", "workflow", w.ID, "queue", w.Queue, "workspace", w.Workspace,
 				"steps", len(w.Steps), "priority", w.Priority, "rules_version", w.RulesVersion)
 			c.enqueueSubmitted(r.Record)
@@ -26,6 +33,24 @@
 	})
 }
 
+// resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
+// name and policy may have changed, and its key may have been withdrawn.
+func resubmitted(r *workflow.Record, w *pj.Workflow) error {
+	recorded := &r.Workflow
+	sameOwner := recorded.Workspace == w.Workspace || recorded.Workspace == "" || w.Workspace == ""
+	if sameOwner && recorded.Spec == w.Spec && recorded.ScheduledOccurrences == w.ScheduledOccurrences && slices.EqualFunc(recorded.Steps, w.Steps, sameStep) {
+		return nil
+	}
+	return pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
+}
+
+// sameStep compares steps of which one was stored and read again: an empty list is then nil.
+func sameStep(a, b pj.Step) bool {
+	sameDependencies := slices.Equal(a.DependsOn, b.DependsOn)
+	a.DependsOn, b.DependsOn = nil, nil
+	return sameDependencies && reflect.DeepEqual(a, b)
+}
+
 func (c *Controller) enqueueSubmitted(r *workflow.Record) {
 	for k := range r.Workflow.Occurrences() {
 		for i := range r.Workflow.Steps {
