Entry: workspaces take turns in the queue of calls to the leader

Change: one queue a workspace, served in turn; when all are full together, the newest call of the longest one is refused at once, which is true, as it was not made. Tests: the fields that two tests read were renamed; their checks are the same.

--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -156,7 +156,7 @@
 // callLeaderFor runs an operation on the leader on behalf of a caller, within the limit of concurrent calls. The request is
 // checked again when it no longer waits for others.
 func (v *VM) callLeaderFor(ctx context.Context, a pj.Authorization, name string, argument, result any) error {
-	return v.limiter.do(ctx, func() error {
+	return v.limiter.do(ctx, a.Workspace(), func() error {
 		if err := v.recheck(ctx, a); err != nil {
 			return fmt.Errorf("check request again: %w", err)
 		}
--- a/internal/server/cluster/rules_test.go
+++ b/internal/server/cluster/rules_test.go
@@ -180,7 +180,7 @@
 			}()
 			for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
 				v.limiter.mu.Lock()
-				queued = len(v.limiter.queue)
+				queued = v.limiter.queued
 				v.limiter.mu.Unlock()
 			}
 			tc.meanwhile(v, clock)
