--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -44,7 +44,8 @@
 	described         int64         // incarnation that announced the worker's description; tasks start only while it is the current one
 	confirmedAddress  string        // address at which it last answered a poll of this leader
 	polled            bool          // it has answered a poll of this leader
-	polledAt          time.Duration // time of its last answer; before the first one, since when it is known
+	polledAt          time.Duration // time of its last answer; initially the time of the election
+	knownSince        time.Duration // when this leader learned of its incarnation
 	clockMS           int64         // lower bound of the worker's clock at clockReadAt; 0 while unknown
 	clockReadAt       time.Duration
 	leaseEndMS        int64         // latest lease end that this leader has sent, on the worker's clock
@@ -60,7 +61,7 @@
 }
 
 func (c *Controller) addWorker(info pj.PolledWorker) *worker {
-	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.options.Clock.Now()}
+	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt, knownSince: c.options.Clock.Now()}
 	c.workers[info.ID] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, info.ID, compareID)
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -143,7 +144,7 @@
 	} else if info.Incarnation >= w.Incarnation {
 		if info.Incarnation > w.Incarnation {
 			w.restarted(c.options.Clock.Now())
-			w.clockMS, w.polled, w.polledAt = 0, false, c.options.Clock.Now()
+			w.clockMS, w.polled, w.knownSince = 0, false, c.options.Clock.Now()
 		}
 		used := w.Capacity.Sub(w.free)
 		w.PolledWorker, w.described = info, info.Incarnation
@@ -472,7 +473,7 @@
 			c.end(v, pj.EndWorkerLost, v.checkpoint)
 		}
 	}
-	if len(w.runs) == 0 && (w.leftAt != 0 || now > w.polledAt+removeAfter) {
+	if len(w.runs) == 0 && (w.leftAt != 0 || now > max(w.polledAt, w.knownSince)+removeAfter) {
 		if w.leftAt == 0 {
 			c.removeWorker(w, "silent", func(error) {})
 			return
