Runs: what can't start takes no place in a pass, and what may start has its turn within a second

Callers saw, in tests: behind 10,000 waiting task sets that can't start, work that could run waits for about 5 s, and work whose queue has a policy for ever: its tickets expire before its next turn. After a hundred of 400 places went through the queue in turn, whatever blocked the task sets there, except for a workspace held back by its limit in the pass before. Evidence: TestBlockedWorkHidesNothing with 10,000 fails before in 6 of 7 new cases (its own workspace, 50 workspaces at their limits, a label each, an amount each, gangs, no free worker large enough), TestTicketsAreUsedBehindBacklog too. Change: waiting task sets are kept by class: workspace, pool, label, priority, amount, gang. Whether a class can't start for its limit, its label, the largest free amount or a ticket is decided once a pass without looking at workers. Blocked classes take one place at most, so that they still hold capacity and get tickets; the others have turns, new ones first, and a task set whose advice arrived is considered at once. Why it works: a pass gives turns to 500 classes and passes are 50 ms apart at most, so 10,000 classes have theirs within a second, and what is blocked alike costs one check, however much it is.

--- a/internal/control/runs/advice.go
+++ b/internal/control/runs/advice.go
@@ -163,6 +163,9 @@
 	for id := range incarnations {
 		ts.queried[id] = true
 	}
+	if ts.queued {
+		c.waiting.answered = append(c.waiting.answered, ts)
+	}
 	validity := time.Duration(answer.ValidityMS) * time.Millisecond
 	if answer.ValidityMS == 0 {
 		validity = time.Duration(ts.record.Workflow.Advice.ValidityMS) * time.Millisecond
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -85,13 +85,12 @@
 	byWorkflow        map[string][]*taskSet
 	byWorkspace       map[string]map[*run]struct{} // runs that hold capacity
 	unrecordedStarts  map[string]struct{}          // workflows with a run that was observed on a worker, but without a committed end of a run
-	ready             []*taskSet                   // task sets with pending tasks, in scheduling order
-	queues            map[string]*workspaceQueue   // by workspace
-	waitingWorkspaces int                          // workspaces with a task set in ready
-	rotation          int                          // index in ready of the last task set that had its turn; see selectTaskSets
+	waiting           waitingSets                  // task sets with pending tasks
 	delayed           []*taskSet                   // task sets whose scheduled start time lies ahead
 	advisors          map[string]*advisor
 	allowedShares     map[string]float64 // by queue: moving average of the fraction of workers that its policy allows
+	blocked           []Blocked          // see Load
+	blockedReportedAt time.Duration
 
 	batch batch
 	dirty bool // something changed since the last scheduling pass
@@ -138,7 +137,6 @@
 
 		byWorkflow:       make(map[string][]*taskSet),
 		byWorkspace:      make(map[string]map[*run]struct{}),
-		queues:           make(map[string]*workspaceQueue),
 		unrecordedStarts: make(map[string]struct{}),
 		advisors:         make(map[string]*advisor),
 		allowedShares:    make(map[string]float64),
--- a/internal/control/runs/failure_test.go
+++ b/internal/control/runs/failure_test.go
@@ -47,6 +47,9 @@
 			s.started[workflow] = append(s.started[workflow], s.clock.now)
 			o.answer(nil)
 		}
+		for _, o := range s.orders.take("advise") {
+			o.answerAdvice(allowAll(o), nil)
+		}
 		for _, o := range s.orders.take("stop") {
 			s.stopping[o.run] = struct{}{}
 			o.answer(nil)
--- a/internal/control/runs/pass.go
+++ b/internal/control/runs/pass.go
@@ -22,6 +22,7 @@
 
 	ending    map[endingKey]pj.Resources // results of endingWithin
 	idlePools map[string]bool            // results of poolIdle
+	rooms     map[poolLabel]room         // of roomFor
 
 	noAdvisorShort, noAdvisorLong bool // no VM is available for a short or a long query
 }
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -20,7 +20,7 @@
 // schedule runs one scheduling pass.
 func (c *Controller) schedule(now time.Duration) {
 	p := c.newPass(now)
-	for _, ts := range c.ranked(now) {
+	for _, ts := range p.ranked() {
 		ts.runTime = c.expectedRunTime(ts)
 		if ts.spec.Gang {
 			p.scheduleGang(ts)
@@ -32,8 +32,11 @@
 		}
 	}
 	for workspace := range p.blockedBy {
-		c.queueOf(workspace).blockedIn = p.number
+		if ws := c.waiting.workspaces[workspace]; ws != nil {
+			ws.blockedIn = p.number
+		}
 	}
+	p.reportBlocked()
 	ended := c.options.Clock.Now()
 	pause := max(time.Duration(p.visits/visitsPerMS)*time.Millisecond, passPause*(ended-now))
 	c.nextPassAt = ended + min(pause, maxPassInterval)
@@ -47,11 +50,11 @@
 
 // ranked returns the task sets to consider, in scheduling order. Within a priority, work that can still meet its objective
 // precedes work that can't, so that a backlog doesn't delay all work submitted after it.
-func (c *Controller) ranked(now time.Duration) []*taskSet {
-	selected := c.selectTaskSets(c.passes)
+func (p *pass) ranked() []*taskSet {
+	selected := p.selectTaskSets()
 	sets := make([]rankedSet, len(selected))
 	for i, ts := range selected {
-		sets[i] = rankedSet{taskSet: ts, priority: ts.record.Workflow.Priority, overShare: c.overShare(ts), lateness: ts.lateness(now)}
+		sets[i] = rankedSet{taskSet: ts, priority: ts.record.Workflow.Priority, overShare: p.c.overShare(ts), lateness: ts.lateness(p.now)}
 	}
 	slices.SortStableFunc(sets, func(a, b rankedSet) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.overShare, b.overShare), cmp.Compare(a.lateness, b.lateness))
@@ -99,7 +102,7 @@
 func (p *pass) withinLimit(ts *taskSet, amount pj.Resources) bool {
 	workspace := ts.record.Workflow.Workspace
 	if p.c.options.State.Rules().Workspace(workspace) == nil {
-		return true // work of an open queue or of a removed workspace has no limit
+		return true // as in limitAllows
 	}
 	if p.blockedBy[workspace] != nil && !p.passesHolds(ts) {
 		return false
--- a/internal/control/runs/select.go
+++ b/internal/control/runs/select.go
@@ -2,98 +2,202 @@
 
 import (
 	"slices"
+
+	pj "papayajunction"
 )
 
-// Places of a pass for task sets. Its cost is bounded, and whatever blocks the first task sets, the others have their turn.
+// Places of a pass for task sets, if more wait. They bound its cost.
+const (
+	maxTaskSetsPerPass = 400  // task sets that one pass considers
+	answeredPlaces     = 100  // of these, for task sets whose advice has arrived
+	firstPlaces        = 300  // for those and for the first ones in scheduling order
+	minWorkspacePlaces = 8    // of the first ones, for a workspace, if there are many, or if its upper limit blocks it
+	maxFirstVisits     = 2000 // task sets among which the first ones are sought
+	maxTurnVisits      = 500  // classes that may have a turn
+	placesPerTurn      = 20   // of one class
+)
+
+// blockReason is why a class of task sets can't start, as far as this is known without looking at workers. Task sets of a class that isn't
+// blocked may still not find a worker.
+type blockReason uint8
+
 const (
-	maxTaskSetsPerPass = 400 // task sets that one pass considers
-	rotatingPlaces     = 100 // of these, for task sets behind the first ones, in turn
-	blockedPlaces      = 8   // of a workspace whose upper limit has blocked it in the last pass
+	notBlocked        blockReason = iota
+	blockedByLimit                // its workspace's upper limit is used up, or held by other work
+	blockedByLabel                // no worker that receives new tasks has the label
+	blockedByCapacity             // on no worker is enough free
+	blockedByTicket               // its advice hasn't arrived
+	blockReasons
 )
 
-// workspaceQueue describes the waiting task sets of a workspace.
-type workspaceQueue struct {
-	waiting    int
-	selected   int    // by the pass selectedIn
-	selectedIn uint64 // last pass that selected a task set
-	blockedIn  uint64 // last pass in which the workspace's upper limit blocked a task set and all after it
+var blockReasonNames = [blockReasons]string{"none", "limit", "label", "capacity", "ticket"}
+
+// String returns the name of the reason in logs and metrics.
+func (r blockReason) String() string {
+	return blockReasonNames[r]
 }
 
-// queueOf returns the queue of a workspace, creating it if necessary.
-func (c *Controller) queueOf(workspace string) *workspaceQueue {
-	q := c.queues[workspace]
-	if q == nil {
-		q = &workspaceQueue{}
-		c.queues[workspace] = q
+// selectTaskSets returns the task sets that the pass considers, in scheduling order: all if there are few, else those whose advice has
+// arrived, the first ones of each workspace, and others that may start, which take turns. What is blocked takes no place of what may start.
+func (p *pass) selectTaskSets() []*taskSet {
+	s := &p.c.waiting
+	if len(s.ordered) <= maxTaskSetsPerPass {
+		s.answered = s.answered[:0]
+		return slices.Clone(s.ordered)
 	}
-	return q
+	selected := make([]*taskSet, 0, maxTaskSetsPerPass)
+	selected = p.selectAnswered(selected)
+	selected = p.selectFirst(selected)
+	selected = p.selectTurns(selected)
+	slices.SortFunc(selected, (*taskSet).compare)
+	return selected
 }
 
-// addWaiting adds a number of waiting task sets, which may be negative.
-func (c *Controller) addWaiting(ts *taskSet, n int) {
-	before := ts.queue.waiting
-	ts.queue.waiting += n
-	switch {
-	case before == 0 && ts.queue.waiting > 0:
-		c.waitingWorkspaces++
-	case before > 0 && ts.queue.waiting == 0:
-		c.waitingWorkspaces--
+// selectAnswered selects task sets whose advice has arrived: their tickets expire.
+func (p *pass) selectAnswered(selected []*taskSet) []*taskSet {
+	s := &p.c.waiting
+	n := min(len(s.answered), answeredPlaces)
+	for _, ts := range s.answered[:n] {
+		if ts.queued && ts.selectedIn != p.number {
+			selected = p.selectOne(selected, ts)
+		}
 	}
+	s.answered = slices.Delete(s.answered, 0, n)
+	return selected
 }
 
-// selectTaskSets returns the task sets that a pass considers, in the order of the ready queue: the first ones of each workspace,
-// and some of the others, which take turns. A workspace that its limit blocks doesn't take the places of others.
-func (c *Controller) selectTaskSets(pass uint64) []*taskSet {
-	if len(c.ready) <= maxTaskSetsPerPass {
-		return slices.Clone(c.ready)
-	}
-	const places = maxTaskSetsPerPass - rotatingPlaces
-	share := max(places/c.waitingWorkspaces, blockedPlaces)
-	indexes := make([]int, 0, maxTaskSetsPerPass)
-	for i, ts := range c.ready {
-		if len(indexes) == places {
+func (p *pass) selectOne(selected []*taskSet, ts *taskSet) []*taskSet {
+	ts.selectedIn = p.number
+	return append(selected, ts)
+}
+
+// selectFirst selects the first task sets, of blocked classes only the first one, which holds what becomes free and gets tickets ahead of time.
+// The workspaces share the places.
+func (p *pass) selectFirst(selected []*taskSet) []*taskSet {
+	s := &p.c.waiting
+	perWorkspace := max(firstPlaces/len(s.workspaces), minWorkspacePlaces)
+	for _, ts := range s.ordered[:min(len(s.ordered), maxFirstVisits)] {
+		if len(selected) >= firstPlaces {
 			break
 		}
-		if ts.queue.take(pass, share) {
-			ts.selectedIn = pass
-			indexes = append(indexes, i)
+		if ts.selectedIn == p.number {
+			continue
+		}
+		places := perWorkspace
+		switch p.blockReason(ts.class) {
+		case notBlocked:
+		case blockedByLimit:
+			places = minWorkspacePlaces
+			fallthrough
+		default:
+			if ts != ts.class.sets[0] {
+				continue
+			}
+		}
+		if ts.class.workspace.takePlace(p.number, places) {
+			selected = p.selectOne(selected, ts)
 		}
 	}
-	for range c.ready {
-		if len(indexes) == maxTaskSetsPerPass {
+	return selected
+}
+
+// selectTurns gives the remaining places to classes that may start, in turn. Blocked classes pass their turns on.
+func (p *pass) selectTurns(selected []*taskSet) []*taskSet {
+	turns := &p.c.waiting.turns
+	skipped := 0 // turns since a task set was selected
+	for range maxTurnVisits {
+		if len(selected) == maxTaskSetsPerPass || skipped == turns.Len() {
 			break
 		}
-		c.rotation = (c.rotation + 1) % len(c.ready)
-		ts := c.ready[c.rotation]
-		if ts.selectedIn != pass && !ts.queue.blocked(pass) {
-			ts.selectedIn = pass
-			indexes = append(indexes, c.rotation)
+		e := turns.Front()
+		turns.MoveToBack(e)
+		skipped++
+		cl, ok := e.Value.(*class)
+		if !ok || p.blockReason(cl) != notBlocked {
+			continue
+		}
+		for range min(placesPerTurn, maxTaskSetsPerPass-len(selected)) {
+			ts := cl.nextTurn(p.number)
+			if ts == nil {
+				break
+			}
+			selected = p.selectOne(selected, ts)
+			skipped = 0
 		}
-	}
-	slices.Sort(indexes)
-	selected := make([]*taskSet, len(indexes))
-	for i, index := range indexes {
-		selected[i] = c.ready[index]
 	}
 	return selected
 }
 
-// blocked reports whether the workspace's upper limit has blocked it in the pass before the given one.
-func (q *workspaceQueue) blocked(pass uint64) bool {
-	return q.blockedIn != 0 && q.blockedIn+1 == pass
+// blockReason returns why the task sets of a class can't start now. It looks neither at workers nor at task sets, so that the cost of a pass
+// doesn't grow with those that are blocked.
+func (p *pass) blockReason(cl *class) blockReason {
+	if cl.checkedIn != p.number {
+		cl.checkedIn, cl.blocked = p.number, p.checkClass(cl)
+	}
+	return cl.blocked
 }
 
-// take takes one of the workspace's places in a pass, and reports false if none is left.
-func (q *workspaceQueue) take(pass uint64, share int) bool {
-	if q.selectedIn != pass {
-		q.selectedIn, q.selected = pass, 0
+func (p *pass) checkClass(cl *class) blockReason {
+	key := &cl.key
+	needed := key.amount.Mul(int64(max(key.gang, 1)))
+	heldBack := cl.workspace.heldByLimit(p.number) && !key.longRunning
+	if heldBack || !p.limitAllows(key.workspace, needed) {
+		return blockedByLimit
 	}
-	if q.blocked(pass) {
-		share = blockedPlaces
+	room, ok := p.roomFor(key.pool, key.label)
+	switch {
+	case !ok:
+		return blockedByLabel
+	case !key.amount.FitsWhereUsed(room.largest) || !needed.FitsWhereUsed(room.total):
+		return blockedByCapacity
+	case cl.sets[0].awaitsFirstAdvice():
+		return blockedByTicket
 	}
-	if q.selected >= share {
-		return false
+	return notBlocked
+}
+
+// limitAllows reports whether a workspace's upper limit allows a further amount.
+func (p *pass) limitAllows(workspace string, amount pj.Resources) bool {
+	if p.c.options.State.Rules().Workspace(workspace) == nil {
+		return true // work of an open queue or of a removed workspace has no limit
+	}
+	return p.c.ledger.Allows(workspace, amount)
+}
+
+// poolLabel identifies the workers of a pool with a label, or all of them if it is "".
+type poolLabel struct {
+	pool, label string
+}
+
+// room is what is free on a number of workers, whatever waiting task sets claim of it.
+type room struct {
+	largest pj.Resources // on one of them, in each dimension
+	total   pj.Resources
+}
+
+// roomFor returns the room on the schedulable workers of a pool with a label, "" for any. ok is false if there is no such worker.
+func (p *pass) roomFor(pool, label string) (r room, ok bool) {
+	if p.rooms == nil {
+		p.rooms = make(map[poolLabel]room)
+		p.visits += len(p.workers)
+		for _, w := range p.workers {
+			p.addRoom(w, "")
+			for _, label := range w.Labels {
+				p.addRoom(w, label)
+			}
+		}
 	}
-	q.selected++
-	return true
+	r, ok = p.rooms[poolLabel{pool: pool, label: label}]
+	return r, ok
+}
+
+func (p *pass) addRoom(w *worker, label string) {
+	key := poolLabel{pool: w.Pool, label: label}
+	r, free := p.rooms[key], w.free.Max(pj.Resources{})
+	p.rooms[key] = room{largest: r.largest.Max(free), total: r.total.Add(free)}
+}
+
+// awaitsFirstAdvice reports whether the task set can neither start nor hold workers before a query is answered.
+func (ts *taskSet) awaitsFirstAdvice() bool {
+	return len(ts.querying) > 0 && len(ts.tickets) == 0
 }
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -15,7 +15,7 @@
 	record      *workflow.Record
 	spec        *pj.Step
 	amount      pj.Resources // resources of one task
-	queue       *workspaceQueue
+	class       *class       // while it waits
 	pending     []int        // task indexes
 	live        map[int]*run // by task index
 	onWorker    map[string]int
@@ -47,7 +47,7 @@
 	objective := c.durations.objective(&r.Workflow)
 	accepted := now - time.Duration(c.options.UnixMilli()-r.Workflow.AcceptedAt)*time.Millisecond
 	ts := &taskSet{
-		id: id, record: r, spec: spec, amount: spec.Reservation(), readySince: now, queue: c.queueOf(r.Workflow.Workspace),
+		id: id, record: r, spec: spec, amount: spec.Reservation(), readySince: now,
 		live: make(map[int]*run), onWorker: make(map[string]int),
 		objectiveAt: accepted + objective, deadline: accepted + deadlineFactor*objective, remaining: c.durations.criticalPath(&r.Workflow, id.Step),
 		querying: make(map[string]struct{}), queried: make(map[string]bool), ticketFor: make(map[string]*ticket),
@@ -91,7 +91,7 @@
 	)
 }
 
-// enqueue adds a task set to the ready queue, with all tasks that neither run nor are done. Before its scheduled start time,
+// enqueue adds a task set to those that wait, with all tasks that neither run nor are done. Before its scheduled start time,
 // the task set is delayed instead.
 func (c *Controller) enqueue(ts *taskSet) {
 	if ts.queued {
@@ -110,9 +110,7 @@
 	if len(ts.pending) == 0 || (ts.spec.Gang && len(ts.live) > 0) {
 		return
 	}
-	at, _ := slices.BinarySearchFunc(c.ready, ts, (*taskSet).compare)
-	c.ready = slices.Insert(c.ready, at, ts)
-	c.addWaiting(ts, 1)
+	c.waiting.add(ts)
 	ts.queued = true
 	c.dirty = true
 }
@@ -137,10 +135,7 @@
 		return
 	}
 	ts.queued = false
-	if at, ok := slices.BinarySearchFunc(c.ready, ts, (*taskSet).compare); ok {
-		c.ready = slices.Delete(c.ready, at, at+1)
-		c.addWaiting(ts, -1)
-	}
+	c.waiting.remove(ts)
 }
 
 // enqueueDelayed enqueues the task sets whose scheduled start time has passed.
--- a/internal/server/cluster/load.go
+++ b/internal/server/cluster/load.go
@@ -1,11 +1,14 @@
 package cluster
 
 import (
+	"fmt"
 	"runtime/debug"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
+	"papayajunction/internal/control/runs"
 	"papayajunction/internal/storage/boltlog"
 	"papayajunction/internal/storage/saver"
 )
@@ -36,7 +39,13 @@
 	lastApplied    uint64
 	lastCalls      int64
 
-	usualGCPercent int // 0 unless busyGCPercent is set
+	usualGCPercent int                      // 0 unless busyGCPercent is set
+	blockedGauges  map[string]blockedGauges // by reason
+}
+
+// blockedGauges are the gauges of the waiting steps that one reason keeps from starting.
+type blockedGauges struct {
+	steps, oldest *metrics.Gauge
 }
 
 // adaptGC sets how often the garbage collector runs from the processor time that the process has used in a span.
@@ -79,6 +88,14 @@
 		l := m.replica.controller.Load()
 		keyvals = append(keyvals, "leads", true, "waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "oldest", l.OldestWait, "asking", l.AwaitingAdvice,
 			"running", l.Running, "relayed_orders", len(m.replica.relays.pending))
+		for _, b := range l.Blocked {
+			if b.Steps > 0 {
+				keyvals = append(keyvals, "waiting_"+b.Reason, b.Steps)
+			}
+		}
+		m.reportBlocked(l.Blocked)
+	} else {
+		m.reportBlocked(nil)
 	}
 	if m.reportedAt > elapsed { // else the span includes the start of the process
 		m.adaptGC(cpu-m.lastCPU, elapsed)
@@ -87,6 +104,30 @@
 	m.replica.vm.log("load", keyvals...)
 }
 
+// reportBlocked sets the gauges of the steps that wait, by what blocks them, and resets those of reasons that are not given.
+func (m *loadMeter) reportBlocked(blocked []runs.Blocked) {
+	if m.blockedGauges == nil {
+		m.blockedGauges = make(map[string]blockedGauges)
+	}
+	for _, g := range m.blockedGauges {
+		g.steps.Set(0)
+		g.oldest.Set(0)
+	}
+	for _, b := range blocked {
+		g, ok := m.blockedGauges[b.Reason]
+		if !ok {
+			set := m.replica.vm.options.Metrics
+			g = blockedGauges{
+				steps:  set.GetOrCreateGauge(fmt.Sprintf("papaya_waiting_steps{reason=%q}", b.Reason), nil),
+				oldest: set.GetOrCreateGauge(fmt.Sprintf("papaya_waiting_oldest_seconds{reason=%q}", b.Reason), nil),
+			}
+			m.blockedGauges[b.Reason] = g
+		}
+		g.steps.Set(float64(b.Steps))
+		g.oldest.Set(b.Oldest.Seconds())
+	}
+}
+
 // processorTime returns the CPU time that this process has used, 0 if the operating system does not provide it.
 func processorTime() time.Duration {
 	var u unix.Rusage
