--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -42,6 +42,7 @@
 	started      map[string]bool // workflows of which a worker has accepted a start
 	published    int64           // latest ruleset version that was acknowledged
 	publications publications
+	blocked      int            // jobs that can't start and were accepted
 	submitters   sync.WaitGroup // calls of submit that have not returned
 	violations   []string
 }
@@ -115,7 +116,10 @@
 	route.TimeoutMS += version
 	return &pj.Ruleset{
 		Version: version, Routes: []pj.Route{*route, versionRoute(version)}, Pools: []string{pool},
-		Workspaces: []pj.KeyedWorkspace{{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: pj.NewResources(1000, 10000, 0, 0)}, Keys: []string{apiKey, versionKey(version)}}},
+		Workspaces: []pj.KeyedWorkspace{
+			{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: pj.NewResources(1000, 10000, 0, 0)}, Keys: []string{apiKey, versionKey(version)}},
+			{Workspace: pj.Workspace{Name: blockedWorkspace, Share: 1, Limit: pj.NewResources(blockedCores, 10000, 0, 0)}, Keys: []string{blockedKey}},
+		},
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,6 +49,7 @@
 		go l.sendHeartbeats(ctx, w)
 	}
 	go l.publishRulesets(ctx)
+	l.submitBlocked(ctx)
 	for i, v := range o.Size.vms() {
 		if v.role == entryRole {
 			go l.probeRules(ctx, v, o.Seed+uint64(i))
@@ -149,7 +150,7 @@
 			l.violations = append(l.violations, fmt.Sprintf("job %s was rejected by every response, and a worker started it", id))
 		}
 	}
-	_, _ = fmt.Fprintf(out, "jobs=%d accepted=%d cancelled=%d tasks=%d config=%d\n", len(l.jobs), accepted, cancelled, l.fleet.FinishedTasks(), l.published)
+	_, _ = fmt.Fprintf(out, "jobs=%d accepted=%d cancelled=%d blocked=%d tasks=%d config=%d\n", len(l.jobs), accepted, cancelled, l.blocked, l.fleet.FinishedTasks(), l.published)
 }
 
 // unfinishedJobs reads the state of the accepted jobs and returns those without a final state.
