Runs: work that its workspace's limit holds back is reported as such

Operators saw, in a test: steps that wait because another step holds the rest of their workspace's limit count as blocked by nothing. Cause: the report came after the pass had marked its own holds, which the check looks for in the pass before. Evidence: TestBlockedReasons, "a limit that a gang holds", fails before. Change: the report comes first. What is scheduled stays as it was: the check's results are kept for one pass only.

--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -31,12 +31,12 @@
 			c.dequeue(ts)
 		}
 	}
+	p.reportBlocked() // by what the pass before has held
 	for workspace := range p.blockedBy {
 		if ws := c.waiting.workspaces[workspace]; ws != nil {
 			ws.blockedIn = p.number
 		}
 	}
-	p.reportBlocked()
 	ended := c.options.Clock.Now()
 	pause := max(time.Duration(p.visits/visitsPerMS)*time.Millisecond, passPause*(ended-now))
 	c.nextPassAt = ended + min(pause, maxPassInterval)
