Logs: what a repeated submission meets, and whether an answer promises that the work never runs

The submit line of an entry didn't tell a refusal from an answer of unknown outcome, and the leader left no line for a repetition: neither the state of the recorded workflow nor what differs could be seen, so three of the hypotheses on REFUSED looked alike. submit has not_run; workflow_resubmitted names state, live runs, what differs and both workspaces.

--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -11,7 +11,7 @@
 // Submit commits a workflow and then calls done. Submitting the same workflow again has no effect; another one under its id is refused.
 func (c *Controller) Submit(w pj.Workflow, done func(error)) {
 	if r := c.options.State.Record(w.ID); r != nil {
-		done(resubmitted(r, &w))
+		done(c.resubmitted(r, &w))
 		return
 	}
 	w.AcceptedAt = c.options.UnixMilli()
@@ -21,7 +21,7 @@
 			return
 		}
 		if !r.New {
-			done(resubmitted(r.Record, &w))
+			done(c.resubmitted(r.Record, &w))
 			return
 		}
 		if !c.closed {
@@ -35,15 +35,32 @@
 
 // resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
 // name and policy may have changed, and its key may have been withdrawn.
-func resubmitted(r *workflow.Record, w *pj.Workflow) error {
-	recorded := &r.Workflow
-	sameOwner := recorded.Workspace == w.Workspace || recorded.Workspace == "" || w.Workspace == ""
-	if sameOwner && recorded.Spec == w.Spec && recorded.ScheduledOccurrences == w.ScheduledOccurrences && slices.EqualFunc(recorded.Steps, w.Steps, sameStep) {
+func (c *Controller) resubmitted(r *workflow.Record, w *pj.Workflow) error {
+	differs := difference(&r.Workflow, w)
+	c.options.Events.Record("workflow_resubmitted", "workflow", w.ID, "state", r.State(), "live", r.LiveRuns(), "differs", differs,
+		"workspace", w.Workspace, "recorded_workspace", r.Workflow.Workspace)
+	if differs == "" {
 		return nil
 	}
 	return pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
 }
 
+// difference returns what distinguishes a workflow from a recorded one under the same id, "" if they are the same.
+func difference(recorded, w *pj.Workflow) string {
+	sameOwner := recorded.Workspace == w.Workspace || recorded.Workspace == "" || w.Workspace == ""
+	switch {
+	case !sameOwner:
+		return "workspace"
+	case recorded.Spec != w.Spec:
+		return "spec"
+	case recorded.ScheduledOccurrences != w.ScheduledOccurrences:
+		return "schedule"
+	case !slices.EqualFunc(recorded.Steps, w.Steps, sameStep):
+		return "steps"
+	}
+	return ""
+}
+
 // sameStep compares steps of which one was stored and read again: an empty list is then nil.
 func sameStep(a, b pj.Step) bool {
 	sameDependencies := slices.Equal(a.DependsOn, b.DependsOn)
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -172,7 +172,7 @@
 	started := v.clock.Now()
 	err := v.callLeaderFor(ctx, a, opSubmit, w, nil)
 	v.log("submit", "workflow", w.ID, "queue", w.Queue, "workspace", w.Workspace, "took", v.clock.Now()-started,
-		"leader", v.leaderClient.Leader(Group), "rules_version", w.RulesVersion, "err", err)
+		"leader", v.leaderClient.Leader(Group), "rules_version", w.RulesVersion, "not_run", err != nil && pj.AsError(err).NotRun, "err", err)
 	return err
 }
 
