--- a/internal/control/runs/submit_test.go
+++ b/internal/control/runs/submit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	pj "papayajunction"
 )
@@ -51,3 +52,60 @@
 		})
 	}
 }
+
+// TestRepetitionOfEndedWorkflow guards against a refusal of work that has run: a repetition whose workflow had ended was taken for
+// another workflow, because only the definition was compared, which an ended workflow no longer has.
+func TestRepetitionOfEndedWorkflow(t *testing.T) {
+	end := func(outcome pj.RunOutcome) func(*cell, *order) {
+		return func(x *cell, start *order) {
+			x.advance(100 * time.Millisecond)
+			x.answerPolls(map[string]pj.PollResponse{"w0": {Finished: []pj.EndedRun{{Number: 1, Run: start.run, Outcome: outcome}}}})
+		}
+	}
+	cancel := func(x *cell, _ *order) {
+		x.c.Cancel("a", "team", func(err error) { x.is.NoErr(err) })
+	}
+	restart := func(before func(*cell, *order)) func(*cell, *order) {
+		return func(x *cell, start *order) {
+			before(x, start)
+			snapshot, err := x.group.state.Snapshot()
+			x.is.NoErr(err)
+			x.is.NoErr(x.group.state.Restore(snapshot))
+			x.elect(2)
+		}
+	}
+	tests := map[string]struct {
+		before func(x *cell, start *order) // what happens between the submissions
+		state  pj.WorkflowState
+	}{
+		"running":                     {before: func(*cell, *order) {}, state: pj.WorkflowRunning},
+		"complete":                    {before: end(pj.EndDone), state: pj.WorkflowComplete},
+		"failed":                      {before: end(pj.EndFailed), state: pj.WorkflowFailed},
+		"cancelled, a run is live":    {before: cancel, state: pj.WorkflowCancelled},
+		"cancelled, no run is live":   {before: func(x *cell, o *order) { cancel(x, o); end(pj.EndStopped)(x, o) }, state: pj.WorkflowCancelled},
+		"running, leader restarted":   {before: restart(func(*cell, *order) {}), state: pj.WorkflowRunning},
+		"complete, leader restarted":  {before: restart(end(pj.EndDone)), state: pj.WorkflowComplete},
+		"cancelled, leader restarted": {before: restart(cancel), state: pj.WorkflowCancelled},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			w := pj.Workflow{ID: "a", Queue: "q", Workspace: "team", Pool: "pool", Spec: "s", Steps: []pj.Step{oneTask()}, MaxAttempts: 1}
+			x.submitWorkflow(w)
+			start := x.orders.take("start")[0]
+			start.answer(nil)
+			test.before(x, start)
+			x.is.Equal(x.state("a"), test.state)
+
+			result := errNoAnswer
+			x.c.Submit(w, func(err error) { result = err })
+			x.is.NoErr(result)
+			w.Spec = "another"
+			var refused *pj.Error
+			x.c.Submit(w, func(err error) { result = err })
+			x.is.True(errors.As(result, &refused))
+			x.is.Equal(refused.Code, pj.CodeConflict)
+			x.is.True(refused.NotRun)
+		})
+	}
+}
