Workflow state: a workflow is known by a fingerprint, also once it has ended

What callers saw: a job that had been accepted, whose answer was lost, ran and ended; the same request, sent again by the caller or by the entry, was answered with 409, 'belongs to another workflow'. Cause: compares the definition of a submission with that of the record. An ended workflow's definition is discarded, so its own submission differs. Class: a comparison with something that is kept for less time than the answer has to be true. Start time and interval count too, which the comparison of fields left out: another schedule under an id in use was acknowledged and never ran. A record of an older version that has ended has no fingerprint; a submission under its id is answered as of unknown outcome, not as refused. 'another start' and 'another interval' of TestIDOfAnotherWorkflow and TestRecordOfOlderVersion are new.

--- a/internal/control/runs/submit_test.go
+++ b/internal/control/runs/submit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 		"by another workspace":        {second: submitted(func(w *pj.Workflow) { w.Workspace = "other" }), refused: true},
 		"another specification":       {second: submitted(func(w *pj.Workflow) { w.Spec = "t" }), refused: true},
 		"another number of tasks":     {second: submitted(func(w *pj.Workflow) { w.Steps[0].Tasks = 2 }), refused: true},
+		"another start":               {second: submitted(func(w *pj.Workflow) { w.StartAtMS = 9 }), refused: true},
+		"another interval":            {second: submitted(func(w *pj.Workflow) { w.IntervalMS = 9 }), refused: true},
 		"a schedule":                  {second: submitted(func(w *pj.Workflow) { w.ScheduledOccurrences = 2 }), refused: true},
 		"a further step":              {second: submitted(func(w *pj.Workflow) { w.Steps = append(w.Steps, oneTask()) }), refused: true},
 		"other dependencies":          {second: submitted(func(w *pj.Workflow) { w.Steps[0].DependsOn = []int{0} }), refused: true},
@@ -40,14 +43,14 @@
 				result := errNoAnswer
 				x.c.Submit(test.second, func(err error) { result = err })
 				x.group.resume()
-				var refused *pj.Error
-				x.is.Equal(errors.As(result, &refused), test.refused)
-				if test.refused {
-					x.is.True(refused.NotRun)
-					x.is.Equal(refused.Code, pj.CodeConflict)
-				} else {
+				var conflict *pj.Error
+				x.is.Equal(errors.As(result, &conflict), test.refused)
+				if conflict == nil {
 					x.is.NoErr(result)
+					continue
 				}
+				x.is.Equal(conflict.NotRun, test.refused)
+				x.is.Equal(conflict.Code, pj.CodeConflict)
 			}
 		})
 	}
@@ -109,3 +112,43 @@
 		})
 	}
 }
+
+// TestRecordOfOlderVersion guards against a refusal of work that has run, after an update of the program: the record of a workflow that
+// had ended before has neither its definition nor a fingerprint, so nothing can be said about a submission under its id.
+func TestRecordOfOlderVersion(t *testing.T) {
+	tests := map[string]struct {
+		ended   bool
+		unknown bool
+	}{
+		"not ended": {},
+		"ended":     {ended: true, unknown: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			w := pj.Workflow{ID: "a", Queue: "q", Workspace: "team", Pool: "pool", Spec: "s", Steps: []pj.Step{oneTask()}, MaxAttempts: 1}
+			x.submitWorkflow(w)
+			if test.ended {
+				start := x.orders.take("start")[0]
+				x.advance(100 * time.Millisecond)
+				x.answerPolls(map[string]pj.PollResponse{"w0": {Finished: []pj.EndedRun{{Number: 1, Run: start.run, Outcome: pj.EndDone}}}})
+			}
+			snapshot, err := x.group.state.Snapshot()
+			x.is.NoErr(err)
+			older := strings.Replace(string(snapshot), `"fingerprint"`, `"unused"`, 1)
+			x.is.True(older != string(snapshot))
+			x.is.NoErr(x.group.state.Restore([]byte(older)))
+			x.elect(2)
+
+			result := errNoAnswer
+			x.c.Submit(w, func(err error) { result = err })
+			var conflict *pj.Error
+			x.is.Equal(errors.As(result, &conflict), test.unknown)
+			if conflict == nil {
+				x.is.NoErr(result)
+				return
+			}
+			x.is.True(!conflict.NotRun)
+		})
+	}
+}
--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -1,8 +1,7 @@
 package runs
 
 import (
-	"reflect"
-	"slices"
+	"fmt"
 
 	pj "papayajunction"
 	"papayajunction/internal/control/workflow"
@@ -34,38 +33,25 @@
 }
 
 // resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
-// name and policy may have changed, and its key may have been withdrawn.
+// name and policy may have changed, and its key may have been withdrawn. The error has NotRun only if it is certainly another one.
 func (c *Controller) resubmitted(r *workflow.Record, w *pj.Workflow) error {
-	differs := difference(&r.Workflow, w)
-	c.options.Events.Record("workflow_resubmitted", "workflow", w.ID, "state", r.State(), "live", r.LiveRuns(), "differs", differs,
-		"workspace", w.Workspace, "recorded_workspace", r.Workflow.Workspace)
-	if differs == "" {
-		return nil
+	fingerprint, err := w.Fingerprint()
+	if err != nil {
+		return fmt.Errorf("compare with the recorded workflow: %w", err)
 	}
-	return pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
-}
-
-// difference returns what distinguishes a workflow from a recorded one under the same id, "" if they are the same.
-func difference(recorded, w *pj.Workflow) string {
-	sameOwner := recorded.Workspace == w.Workspace || recorded.Workspace == "" || w.Workspace == ""
+	sameOwner := r.Workflow.Workspace == w.Workspace || r.Workflow.Workspace == "" || w.Workspace == ""
+	differs := ""
 	switch {
+	case r.Fingerprint == "":
+		differs, err = "unknown", pj.Fail(pj.CodeConflict, "the id %s belongs to a workflow that has ended and can't be compared", w.ID)
+	case r.Fingerprint != fingerprint:
+		differs, err = "definition", pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
 	case !sameOwner:
-		return "workspace"
-	case recorded.Spec != w.Spec:
-		return "spec"
-	case recorded.ScheduledOccurrences != w.ScheduledOccurrences:
-		return "schedule"
-	case !slices.EqualFunc(recorded.Steps, w.Steps, sameStep):
-		return "steps"
+		differs, err = "workspace", pj.Refuse(pj.CodeConflict, "the id %s belongs to a workflow of another workspace", w.ID)
 	}
-	return ""
-}
-
-// sameStep compares steps of which one was stored and read again: an empty list is then nil.
-func sameStep(a, b pj.Step) bool {
-	sameDependencies := slices.Equal(a.DependsOn, b.DependsOn)
-	a.DependsOn, b.DependsOn = nil, nil
-	return sameDependencies && reflect.DeepEqual(a, b)
+	c.options.Events.Record("workflow_resubmitted", "workflow", w.ID, "state", r.State(), "live", r.LiveRuns(), "differs", differs,
+		"workspace", w.Workspace, "recorded_workspace", r.Workflow.Workspace)
+	return err
 }
 
 func (c *Controller) enqueueSubmitted(r *workflow.Record) {
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -70,7 +70,8 @@
 // Record is a workflow with the state of its tasks.
 type Record struct {
 	Workflow        pj.Workflow   `json:"workflow"`
-	Occurrences     [][]StepState `json:"occurrences"` // by occurrence and step
+	Fingerprint     string        `json:"fingerprint,omitempty"` // of the workflow as submitted; "" if an older version discarded the definition
+	Occurrences     [][]StepState `json:"occurrences"`           // by occurrence and step
 	Cancelled       bool          `json:"cancelled,omitempty"`
 	Failed          string        `json:"failed,omitempty"`   // reason for the failure
 	Started         bool          `json:"started,omitempty"`  // set once a run that is known to have started on a worker has ended
@@ -127,6 +128,14 @@
 	return pj.WorkflowQueued
 }
 
+// addFingerprint adds the fingerprint to a record of an older version that still has its definition.
+func (r *Record) addFingerprint() (err error) {
+	if r.Fingerprint == "" && len(r.Workflow.Steps) > 0 {
+		r.Fingerprint, err = r.Workflow.Fingerprint()
+	}
+	return err
+}
+
 // recomputeCounters recomputes the counters, which are not part of a snapshot.
 func (r *Record) recomputeCounters() {
 	r.liveRuns, r.unfinishedSteps = 0, 0
@@ -261,7 +270,7 @@
 		}
 	}
 	if c.Submit != nil {
-		result.Record, result.New = s.submit(*c.Submit)
+		s.submit(*c.Submit, &result)
 	}
 	if c.Cancel != "" {
 		result.Record = s.cancel(c.Cancel, c.At)
@@ -297,11 +306,17 @@
 	s.workers[w.ID] = w
 }
 
-func (s *State) submit(w pj.Workflow) (*Record, bool) {
+func (s *State) submit(w pj.Workflow, result *Result) {
 	if r := s.records[w.ID]; r != nil {
-		return r, false
+		result.Record = r
+		return
 	}
-	r := &Record{Workflow: w, Occurrences: make([][]StepState, w.Occurrences())}
+	fingerprint, err := w.Fingerprint()
+	if err != nil {
+		result.Err = pj.Refuse(pj.CodeInternal, "submission can't be stored: %v", err)
+		return
+	}
+	r := &Record{Workflow: w, Fingerprint: fingerprint, Occurrences: make([][]StepState, w.Occurrences())}
 	for k := range r.Occurrences {
 		r.Occurrences[k] = make([]StepState, len(w.Steps))
 		for i, step := range w.Steps {
@@ -313,7 +328,7 @@
 	if s.isWaiting(r) {
 		s.waiting[w.Queue]++
 	}
-	return r, true
+	result.Record, result.New = r, true
 }
 
 // isWaiting reports whether WaitingWorkflows counts the workflow.
@@ -340,8 +355,8 @@
 	return r
 }
 
-// finalise sets the end time of a workflow in a final state and, once no run of it is live, discards its definition and
-// the state of its tasks. It does nothing for other workflows.
+// finalise sets the end time of a workflow in a final state and, once no run of it is live, discards its definition, but
+// for the fingerprint, and the state of its tasks. It does nothing for other workflows.
 func (s *State) finalise(r *Record, at int64) {
 	if !r.State().Final() {
 		return
@@ -478,6 +493,9 @@
 	s.rules = snap.Rules
 	s.rules.BuildIndex()
 	for _, r := range snap.Records {
+		if err := r.addFingerprint(); err != nil {
+			return fmt.Errorf("read workflow snapshot: %w", err)
+		}
 		r.recomputeCounters()
 		s.records[r.Workflow.ID] = r
 		if s.isWaiting(r) {
--- a/workflow.go
+++ b/workflow.go
@@ -1,6 +1,9 @@
 package papayajunction
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -74,6 +77,26 @@
 	return w.StartAtMS + int64(occurrence)*w.IntervalMS
 }
 
+// fingerprintBytes is the length of a fingerprint before its encoding.
+const fingerprintBytes = 16
+
+// Fingerprint returns a hash of what the submitter asked for: the specification, the steps and the schedule. What the queue's policy and the
+// time of acceptance add is left out, so that a workflow has the same fingerprint whenever it is submitted.
+func (w *Workflow) Fingerprint() (string, error) {
+	content, err := json.Marshal(struct {
+		Spec                 string `json:"spec"`
+		Steps                []Step `json:"steps"`
+		ScheduledOccurrences int    `json:"times"`
+		StartAtMS            int64  `json:"start_at_ms"`
+		IntervalMS           int64  `json:"interval_ms"`
+	}{w.Spec, w.Steps, w.ScheduledOccurrences, w.StartAtMS, w.IntervalMS})
+	if err != nil {
+		return "", fmt.Errorf("encode workflow %s: %w", w.ID, err)
+	}
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:fingerprintBytes]), nil
+}
+
 // Maxima of an accepted workflow. The state of each task of each occurrence is held in memory.
 const (
 	MaxSpecBytes   = 4000
