Runs: an id of another workspace's workflow is no promise that the work never runs

What callers could see: a job is accepted, its answer lost; its key then moves to another workspace by a published configuration; the same request is answered with 409 and not_run, while the job runs. Seen in a test only. Cause: a submission with the same definition under the same id, but from another workspace, counted as certainly another one. Which key the first one came with isn't recorded. Change: such a submission is still not acknowledged, but its error leaves the outcome open. Test: TestIDOfAnotherWorkflow, 'by another workspace', asked for NotRun. That was wrong: with an equal definition nothing shows that it is another caller's. The case now asks that it is neither acknowledged nor refused, which the old code breaks (NotRun true); all cases with another definition still ask for the refusal.

--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -47,7 +47,8 @@
 	case r.Fingerprint != fingerprint:
 		differs, err = "definition", pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
 	case !sameOwner:
-		differs, err = "workspace", pj.Refuse(pj.CodeConflict, "the id %s belongs to a workflow of another workspace", w.ID)
+		// The key may have moved to another workspace since the first submission.
+		differs, err = "workspace", pj.Fail(pj.CodeConflict, "the id %s belongs to a workflow of another workspace", w.ID)
 	}
 	c.options.Events.Record("workflow_resubmitted", "workflow", w.ID, "state", r.State(), "live", r.LiveRuns(), "differs", differs,
 		"workspace", w.Workspace, "recorded_workspace", r.Workflow.Workspace)
