Errors: work of unknown outcome never has the status of a refusal

An entry's first attempt at the leader was lost; the refusal that its second attempt met was passed on with its status, 409, although the leader client had cleared NotRun because the first attempt may have run. Cause: the status followed from the code alone. The platform's adapter put that right for 429, 503 and 5xx only, and the product's own API not at all: there 400, 401, 403, 404, 409, 413, 429 and 503 were sent with not_run=false in the body, which callers that go by the status don't read.

--- a/errors.go
+++ b/errors.go
@@ -37,7 +37,8 @@
 
 // Error is the form in which callers, workers, endpoints and operators receive every error.
 //
-// NotRun is true only if the work has certainly not started and will not start.
+// NotRun is true only if the work has certainly not started and will not start because of the attempt that is answered. Who repeats an
+// attempt of unknown outcome combines the answers with ClearNotRun.
 type Error struct {
 	Code       Code         `json:"code"`
 	NotRun     bool         `json:"not_run"`
@@ -75,8 +76,18 @@
 	return string(e.Code) + ": " + e.Message
 }
 
-// HTTPStatus returns the HTTP status that goes with the code.
+// HTTPStatus returns the HTTP status of the error. A status that callers take for a refusal goes only with NotRun: without it, the status
+// is that of a lost response. CodeUnknownJob refuses no work and keeps its status.
 func (e *Error) HTTPStatus() int {
+	status := e.statusOfCode()
+	refuses := status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+	if refuses && !e.NotRun && e.Code != CodeUnknownJob {
+		return http.StatusGatewayTimeout
+	}
+	return status
+}
+
+func (e *Error) statusOfCode() int {
 	switch e.Code {
 	case CodeBadRequest, CodeNeverRuns:
 		return http.StatusBadRequest
