--- a/workflow_test.go
+++ b/workflow_test.go
@@ -47,3 +47,16 @@
 		})
 	}
 }
+
+// BenchmarkFingerprint measures what a submission costs the leader beside its commit.
+func BenchmarkFingerprint(b *testing.B) {
+	w := pj.Workflow{Spec: "text", Steps: make([]pj.Step, 2)}
+	for i := range w.Steps {
+		w.Steps[i] = pj.Step{Tasks: 8, Task: pj.NewResources(18, 24, 0, 0), EstimateMS: 4000, Checkpointing: true}
+	}
+	for b.Loop() {
+		if _, err := w.Fingerprint(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
