Cell: a repeated submission is recognised by what its caller sent

Seen: a submission whose answer was lost was refused as a conflict, "not run", when it was repeated after the number of tasks of its queue had changed, although its job ran. Another job under an id in use (other resources or run time) was acknowledged and never ran. After a queue had moved to another workspace, the repetition was answered with that workspace's job.

Cause: cell.State.submit compared queue, payload and number of tasks of the job that the entry had built with the queue's defaults, nothing else.

A conflict says "not run" only if the submission is certainly another one: not for the same submission in another workspace (keys and queues move between workspaces), and not where a record or an entry of an earlier version has no hash and only fields differ that the queue's configuration can set. The comparison changes no state, so replicas of both versions stay the same in what they do.

The kind isn't part of the identity: callers can't choose it. A submission that writes out a value which was left to the queue before is another one.

--- a/internal/control/cell/state.go
+++ b/internal/control/cell/state.go
@@ -195,10 +195,7 @@
 
 func (s *State) submit(job pj.Job) SubmitResult {
 	if r := s.jobs[job.ID]; r != nil {
-		if r.Job.Queue != job.Queue || r.Job.Payload != job.Payload || r.Job.Tasks != job.Tasks {
-			return SubmitResult{Record: r, Err: pj.Refuse(pj.CodeConflict, "job %s already exists with different content", job.ID)}
-		}
-		return SubmitResult{Record: r}
+		return SubmitResult{Record: r, Err: r.checkRepetition(&job)}
 	}
 	r := &Record{Job: job, Tasks: make([]Task, job.Tasks)}
 	s.jobs[job.ID] = r
@@ -310,6 +307,35 @@
 	return ok
 }
 
+// checkRepetition returns nil if job was built from the submission that created r. Otherwise it returns a conflict, with
+// NotRun only if the submission is certainly another one. A job of another workspace may come from the same caller,
+// because keys and queues can move between workspaces.
+func (r *Record) checkRepetition(job *pj.Job) *pj.Error {
+	same, certain := r.compareSubmission(job)
+	switch {
+	case same && r.Job.Workspace == job.Workspace:
+		return nil
+	case same:
+		return pj.Fail(pj.CodeConflict, "job %s already exists in another workspace", job.ID)
+	case certain:
+		return pj.Refuse(pj.CodeConflict, "job %s already exists with different content", job.ID)
+	}
+	return pj.Fail(pj.CodeConflict, "job %s already exists, and its content or the configuration of its queue was different", job.ID)
+}
+
+// compareSubmission reports whether job was built from the submission that created r, and whether that is certain. A
+// record of an earlier version has no fingerprint; the fields that the queue's configuration can set don't tell then
+// whether the submission was another one.
+func (r *Record) compareSubmission(job *pj.Job) (same, certain bool) {
+	if r.Job.Fingerprint != "" && job.Fingerprint != "" {
+		return r.Job.Fingerprint == job.Fingerprint, true
+	}
+	if r.Job.Queue != job.Queue || r.Job.Payload != job.Payload {
+		return false, true
+	}
+	return r.Job.Tasks == job.Tasks && r.Job.Task == job.Task && r.Job.RunTime == job.RunTime, false
+}
+
 // Ended reports whether no attempt of the job may be running and none will be started.
 func (r *Record) Ended() bool {
 	if r.liveAttempts > 0 {
--- a/internal/control/cell/state_test.go
+++ b/internal/control/cell/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -124,6 +125,67 @@
 	}
 }
 
+// TestRepeatedSubmission guards against refusing the repetition of an accepted submission as another one, and against
+// acknowledging another submission that would never run.
+func TestRepeatedSubmission(t *testing.T) {
+	accepted := pj.Job{
+		ID: "z.job", Workspace: "a", Queue: "q", Kind: pj.KindBatch, Payload: "p", Fingerprint: "f1",
+		Tasks: 2, Task: pj.NewResources(1, 1, 0, 0), RunTime: pj.Duration(time.Second), MaxAttempts: 2,
+	}
+	const accept, conflict, uncertainConflict = "accepted", "conflict, not run", "conflict"
+	tests := map[string]struct {
+		recorded func(*pj.Job) // changes the job that was accepted
+		repeated func(*pj.Job) // changes the job that is submitted under the same id
+		want     string
+	}{
+		"same job": {want: accept},
+		"queue's configuration has changed": {repeated: func(j *pj.Job) {
+			j.Kind, j.Urgency, j.Tasks, j.Task, j.RunTime, j.MaxAttempts = pj.KindService, pj.Urgent, 5, pj.NewResources(9, 9, 0, 0), 0, 7
+		}, want: accept},
+		"another submission":                    {repeated: func(j *pj.Job) { j.Fingerprint = "f2" }, want: conflict},
+		"another submission of other workspace": {repeated: func(j *pj.Job) { j.Fingerprint, j.Workspace = "f2", "b" }, want: conflict},
+		"key or queue moved to other workspace": {repeated: func(j *pj.Job) { j.Workspace = "b" }, want: uncertainConflict},
+		"old record, same job":                  {recorded: func(j *pj.Job) { j.Fingerprint = "" }, want: accept},
+		"job from an old entry, same job":       {repeated: func(j *pj.Job) { j.Fingerprint = "" }, want: accept},
+		"old record, other workspace":           {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.Workspace = "b" }, want: uncertainConflict},
+		"old record, other payload":             {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.Payload = "x" }, want: conflict},
+		"old record, other queue":               {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.Queue = "x" }, want: conflict},
+		"old record, other tasks or defaults":   {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.Tasks = 3 }, want: uncertainConflict},
+		"old record, other resources":           {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.Task[pj.Cores]++ }, want: uncertainConflict},
+		"old record, other run time":            {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.RunTime++ }, want: uncertainConflict},
+		"old record, kind of the queue changed": {recorded: func(j *pj.Job) { j.Fingerprint = "" }, repeated: func(j *pj.Job) { j.Kind = pj.KindGang }, want: accept},
+	}
+	change := func(change func(*pj.Job)) *pj.Job {
+		job := accepted
+		if change != nil {
+			change(&job)
+		}
+		return &job
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := &fixture{is: is.New(t), state: cell.NewState()}
+			f.apply(cell.Command{Submit: change(test.recorded)})
+			before, err := f.state.Snapshot()
+			f.is.NoErr(err)
+			restored := cell.NewState() // the fingerprint is kept in snapshots
+			f.is.NoErr(restored.Restore(before))
+			f.state = restored
+			result, ok := f.apply(cell.Command{Submit: change(test.repeated)}).(cell.SubmitResult)
+			f.is.True(ok && !result.New)
+			got := accept
+			switch {
+			case result.Err != nil && result.Err.NotRun:
+				got = string(result.Err.Code) + ", not run"
+			case result.Err != nil:
+				got = string(result.Err.Code)
+			}
+			f.is.Equal(got, test.want)
+			f.is.Equal(f.state.Job("z.job").Job, *change(test.recorded)) // the record is unchanged
+		})
+	}
+}
+
 // FuzzApply applies arbitrary bytes as a command; this must not panic, and the resulting snapshot must be restorable.
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(`{"submit":{"id":"z.a","tasks":1}}`))
--- a/internal/server/api/callers.go
+++ b/internal/server/api/callers.go
@@ -123,10 +123,14 @@
 	if err != nil {
 		return pj.Job{}, err
 	}
+	fingerprint, err := s.Fingerprint()
+	if err != nil {
+		return pj.Job{}, err
+	}
 	job := pj.Job{
 		ID: id, Workspace: identity.Workspace, Queue: q.Name, Kind: q.Kind, Urgency: q.Urgency, Repeatable: q.Repeatable,
 		Tasks: cmp.Or(s.Tasks, q.Tasks), Task: q.Task, RunTime: cmp.Or(s.RunTime, q.RunTime),
-		Payload: s.Payload, MaxAttempts: q.Attempts, MaxWaiting: q.MaxWaiting,
+		Payload: s.Payload, MaxAttempts: q.Attempts, MaxWaiting: q.MaxWaiting, Fingerprint: fingerprint,
 	}
 	if !s.Task.IsZero() {
 		job.Task = s.Task
--- a/internal/server/daemon/daemon_test.go
+++ b/internal/server/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	pj "papayajunction"
+	"papayajunction/internal/client/command"
 	"papayajunction/internal/client/entry"
 	"papayajunction/internal/config/settings"
 	"papayajunction/internal/server/daemon"
@@ -75,6 +76,27 @@
 	return sys
 }
 
+// publish publishes the operator files with some of them replaced, by path. A file without content is left out.
+func (s *system) publish(t *testing.T, replaced map[string]string) {
+	t.Helper()
+	var files []pj.OperatorFile
+	for _, f := range operatorFiles {
+		if content, ok := replaced[f.Path]; ok {
+			f.Content = content
+		}
+		if f.Content != "" {
+			files = append(files, f)
+		}
+	}
+	config, err := s.client.Configuration(t.Context(), 0)
+	if err == nil {
+		_, err = s.client.Publish(t.Context(), pj.Publication{Files: files, ReplacedVersion: config.Version})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // publishAndWait publishes operatorFiles and waits until the VM serves requests and jobs.
 func (s *system) publishAndWait(t *testing.T) {
 	t.Helper()
@@ -238,3 +260,47 @@
 		})
 	}
 }
+
+// TestRepeatedSubmission guards against refusing the repetition of an accepted submission, whose answer may have been
+// lost, after the configuration has changed, and against acknowledging another submission that would never run.
+func TestRepeatedSubmission(t *testing.T) {
+	s := startSystem(t, 10*time.Millisecond)
+	batch := pj.Submission{Queue: "batch", Payload: "p"}
+	tests := map[string]struct {
+		replaced map[string]string // operator files that are published after the first submission
+		second   pj.Submission
+		code     pj.Code // empty if the second submission is accepted
+		notRun   bool
+	}{
+		"no change": {second: batch},
+		"queue's number of tasks changed": {
+			replaced: map[string]string{"batch.queue.json": `{"queue": "batch", "workspace": "a", "kind": "batch", "urgency": "normal", "repeatable": true, "open": true, "tasks": 2, "task": {"cores": 1, "memory_gb": 1}}`},
+			second:   batch,
+		},
+		"queue moved to another workspace": {
+			replaced: map[string]string{"batch.queue.json": `{"queue": "batch", "workspace": "b", "kind": "batch", "urgency": "normal", "repeatable": true, "open": true, "task": {"cores": 1, "memory_gb": 1}}`},
+			second:   batch, code: pj.CodeConflict,
+		},
+		"other payload":   {second: pj.Submission{Queue: "batch", Payload: "x"}, code: pj.CodeConflict, notRun: true},
+		"other resources": {second: pj.Submission{Queue: "batch", Payload: "p", Task: pj.NewResources(2, 2, 0, 0)}, code: pj.CodeConflict, notRun: true},
+		"other run time":  {second: pj.Submission{Queue: "batch", Payload: "p", RunTime: pj.Duration(time.Minute)}, code: pj.CodeConflict, notRun: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			id := command.NewJobID("zone-1")
+			_, err := s.client.Submit(t.Context(), id, batch)
+			is.NoErr(err)
+			s.publish(t, test.replaced)
+			defer s.publish(t, nil)
+			_, err = s.client.Submit(t.Context(), id, test.second)
+			if test.code == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.Equal(pj.AsError(err).Code, test.code)
+			is.Equal(pj.AsError(err).NotRun, test.notRun)
+		})
+	}
+}
--- a/job.go
+++ b/job.go
@@ -1,6 +1,9 @@
 package papayajunction
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -24,7 +27,11 @@
 	return s == JobFinished || s == JobFailed || s == JobCancelled
 }
 
-// Submission is the request with which a caller submits a job.
+// fingerprintBytes is the number of bytes of a fingerprint, which is twice as long in hexadecimal.
+const fingerprintBytes = 16
+
+// Submission is the request with which a caller submits a job. Fields added to it must be left out of its JSON form
+// when they are zero, so that fingerprints stay the same.
 type Submission struct {
 	Queue   string    `json:"queue"`
 	Tasks   int       `json:"tasks,omitempty"`
@@ -33,6 +40,17 @@
 	Payload string    `json:"payload,omitempty"`
 }
 
+// Fingerprint returns a hash by which a repetition of the submission is recognised. Unlike the job that is built from
+// the submission, it doesn't depend on the configuration of the queue.
+func (s Submission) Fingerprint() (string, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return "", fmt.Errorf("encode submission: %w", err)
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:fingerprintBytes]), nil
+}
+
 // Job is a durable unit of work: one or more identical tasks, which run on workers.
 type Job struct {
 	ID          string    `json:"id"`
@@ -47,7 +65,8 @@
 	Payload     string    `json:"payload,omitempty"`
 	MaxAttempts int       `json:"max_attempts"`
 	MaxWaiting  int       `json:"max_waiting,omitempty"`
-	SubmittedAt int64     `json:"submitted_at"` // Unix time in milliseconds
+	SubmittedAt int64     `json:"submitted_at"`          // Unix time in milliseconds
+	Fingerprint string    `json:"fingerprint,omitempty"` // of the submission; empty if an earlier version accepted the job
 }
 
 // TaskStatus is one task of a job as callers see it.
