Coordinator: a submission that is being committed isn't refused when it is repeated

Seen: a repetition that reaches the leader while the first submission's commit is in flight was refused with "overloaded" or "never_runs" and "not run", although the first was then committed and its job runs. The entry's own retry clears "not run" (leaderclient), a repetition by the caller through another entry doesn't.

Cause: Submit skips the checks for new jobs if the id is in the replicated state, which a proposal reaches only after its commit.

Change: the leader counts the submissions in flight by id; their repetitions are proposed and compared when they are applied.

Test: TestRepetitionDuringCommit, on the code before: "queue full" and "too large since" fail (jobs_test.go:68: false != true, the repetition is refused); other ids are refused as before.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -71,6 +71,7 @@
 	workers           map[string]*workerView
 	attempts          map[pj.AttemptID]*attemptView
 	waiters           map[string][]*jobWaiter     // by job id
+	submitting        map[string]int              // by job id: number of submissions whose commit is in flight
 	pendingAllotments map[string]pj.Allotment     // by workspace: allotments whose commit is in flight
 	overAllotments    map[string]int              // by workspace: number of consecutive allotments below its current usage
 	temporaryLimits   map[string]temporaryLimit   // by workspace, while its tasks are being preempted
@@ -98,6 +99,7 @@
 		workers:           make(map[string]*workerView),
 		attempts:          make(map[pj.AttemptID]*attemptView),
 		waiters:           make(map[string][]*jobWaiter),
+		submitting:        make(map[string]int),
 		pendingAllotments: make(map[string]pj.Allotment),
 		overAllotments:    make(map[string]int),
 		temporaryLimits:   make(map[string]temporaryLimit),
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -13,16 +13,19 @@
 	reply func(pj.JobStatus, error)
 }
 
-// Submit commits a job to the replicated state and calls done with its status.
+// Submit commits a job to the replicated state and calls done with its status. The checks for new jobs don't apply to a
+// job that is already known or is being committed.
 func (c *Coordinator) Submit(job pj.Job, done func(pj.JobStatus, error)) {
-	if existing := c.options.State.Job(job.ID); existing == nil {
+	if c.options.State.Job(job.ID) == nil && c.submitting[job.ID] == 0 {
 		if err := c.checkAdmission(job); err != nil {
 			done(pj.JobStatus{}, err)
 			return
 		}
 	}
 	job.SubmittedAt = c.options.UnixMilli()
+	c.submitting[job.ID]++
 	c.commit(cell.Command{Submit: &job}, func(r pj.CommitResult) {
+		c.submitted(job.ID)
 		if r.Err != nil {
 			done(pj.JobStatus{}, r.Err)
 			return
@@ -46,6 +49,14 @@
 	})
 }
 
+// submitted records that a submission is no longer being committed.
+func (c *Coordinator) submitted(id string) {
+	c.submitting[id]--
+	if c.submitting[id] <= 0 {
+		delete(c.submitting, id)
+	}
+}
+
 // checkAdmission returns the error with which a new job is rejected, or nil if it is admitted.
 func (c *Coordinator) checkAdmission(job pj.Job) *pj.Error {
 	// Until every worker has had time to report to a new leader, the cell's capacity is incomplete and
--- a/internal/control/coordinator/jobs_test.go
+++ b/internal/control/coordinator/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -29,3 +30,46 @@
 	})
 	is.True(called)
 }
+
+// TestRepetitionDuringCommit guards against refusing, as not run, the repetition of a submission that is being committed.
+func TestRepetitionDuringCommit(t *testing.T) {
+	tooLarge := pj.NewResources(1000, 1, 0, 0)
+	tests := map[string]struct {
+		id       string
+		task     pj.Resources
+		waiting  int // MaxWaiting of the repetition, which the configuration may have lowered
+		accepted bool
+	}{
+		"queue full":                     {id: "z.b", waiting: 1, accepted: true},
+		"too large since":                {id: "z.b", task: tooLarge, accepted: true},
+		"another id, queue full":         {id: "z.c", waiting: 1},
+		"another id, would never be run": {id: "z.c", task: tooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(1)
+			b.run(30 * time.Second) // the capacity of the workers is known
+			b.submit(pj.Job{ID: "z.a", Workspace: "a", Task: pj.NewResources(8, 16, 0, 0)})
+			b.submit(pj.Job{ID: "z.waiting", Workspace: "a", Task: pj.NewResources(8, 16, 0, 0)})
+			job := pj.Job{
+				ID: "z.b", Workspace: "a", Queue: "a-batch", Kind: pj.KindBatch, Tasks: 1, Task: pj.NewResources(1, 1, 0, 0),
+				MaxAttempts: 1, Fingerprint: "f",
+			}
+			var first, second error
+			b.leader.Submit(job, func(_ pj.JobStatus, err error) { first = err })
+			job.ID, job.MaxWaiting = test.id, test.waiting
+			if !test.task.IsZero() {
+				job.Task = test.task
+			}
+			b.leader.Submit(job, func(_ pj.JobStatus, err error) { second = err })
+			b.commit()
+			is.NoErr(first)
+			is.Equal(second == nil, test.accepted)
+			if second != nil {
+				is.True(pj.AsError(second).NotRun) // no submission with its id was accepted
+			}
+			is.Equal(b.state.Job("z.b").Job.MaxWaiting, 0) // as in the first submission
+		})
+	}
+}
