API: a submission is refused as "not run" only if its job doesn't exist

Seen: an accepted submission that was repeated after its queue was removed, closed, turned into one for requests or moved, its workspace's limit was lowered or its key withdrawn got an error with "not run" (unknown_queue, no_key, bad_request, forbidden, never_runs, wrong_key), although its job runs or had ended.

Cause: the entry checks a submission against the configuration and keys in force before the cell is asked, and the checks are for new jobs.

Change: before it refuses a submission by the configuration or the keys, the entry asks the leader of the id's cell whether the job exists (one read, no commit; no more than a GET of a job, which needs no key either). The submitter of an existing job gets its status with 202, as for every repetition. A caller who can't be identified as the submitter gets the refusal without "not run" and nothing of the job. If the cell doesn't answer within 2 s, or an older leader doesn't know the call, the refusal comes without "not run" too.

Test: TestRepeatedSubmission of daemon. Not tested: a cell that doesn't answer.

--- a/internal/control/cell/state.go
+++ b/internal/control/cell/state.go
@@ -195,7 +195,7 @@
 
 func (s *State) submit(job pj.Job) SubmitResult {
 	if r := s.jobs[job.ID]; r != nil {
-		return SubmitResult{Record: r, Err: r.checkRepetition(&job)}
+		return SubmitResult{Record: r, Err: r.CheckRepetition(&job)}
 	}
 	r := &Record{Job: job, Tasks: make([]Task, job.Tasks)}
 	s.jobs[job.ID] = r
@@ -307,10 +307,10 @@
 	return ok
 }
 
-// checkRepetition returns nil if job was built from the submission that created r. Otherwise it returns a conflict, with
+// CheckRepetition returns nil if job was built from the submission that created r. Otherwise it returns a conflict, with
 // NotRun only if the submission is certainly another one. A job of another workspace may come from the same caller,
 // because keys and queues can move between workspaces.
-func (r *Record) checkRepetition(job *pj.Job) *pj.Error {
+func (r *Record) CheckRepetition(job *pj.Job) *pj.Error {
 	same, certain := r.compareSubmission(job)
 	switch {
 	case same && r.Job.Workspace == job.Workspace:
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -49,6 +49,24 @@
 	})
 }
 
+// Repeated replies with the status of the job that an earlier attempt of the same submission created. Of job, only the
+// fields that the caller has set and the workspace are needed. An error with NotRun says that no attempt was accepted.
+func (c *Coordinator) Repeated(job pj.Job, reply func(pj.JobStatus, error)) {
+	r := c.options.State.Job(job.ID)
+	switch {
+	case r == nil && c.submitting[job.ID] > 0:
+		reply(pj.JobStatus{}, pj.Fail(pj.CodeOutcomeUnknown, "job %s is being committed", job.ID))
+	case r == nil:
+		reply(pj.JobStatus{}, unknownJobError(job.ID))
+	default:
+		if err := r.CheckRepetition(&job); err != nil {
+			reply(pj.JobStatus{}, err)
+			return
+		}
+		reply(c.jobStatus(r), nil)
+	}
+}
+
 // submitted records that a submission is no longer being committed.
 func (c *Coordinator) submitted(id string) {
 	c.submitting[id]--
--- a/internal/control/coordinator/jobs_test.go
+++ b/internal/control/coordinator/jobs_test.go
@@ -73,3 +73,46 @@
 		})
 	}
 }
+
+// TestRepeated guards against the claim that no attempt of a submission was accepted while one is being committed.
+func TestRepeated(t *testing.T) {
+	job := pj.Job{ID: "z.b", Workspace: "a", Queue: "a-batch", Kind: pj.KindBatch, Tasks: 1, Task: pj.NewResources(1, 1, 0, 0), MaxAttempts: 1, Fingerprint: "f"}
+	tests := map[string]struct {
+		submitted, committed bool
+		workspace            string
+		fingerprint          string
+		code                 pj.Code // empty if the job's status is returned
+		notRun               bool
+	}{
+		"unknown":                 {workspace: "a", fingerprint: "f", code: pj.CodeUnknownJob, notRun: true},
+		"being committed":         {submitted: true, workspace: "a", fingerprint: "f", code: pj.CodeOutcomeUnknown},
+		"committed":               {submitted: true, committed: true, workspace: "a", fingerprint: "f"},
+		"another submission":      {submitted: true, committed: true, workspace: "a", fingerprint: "g", code: pj.CodeConflict, notRun: true},
+		"another workspace":       {submitted: true, committed: true, workspace: "b", fingerprint: "f", code: pj.CodeConflict},
+		"caller without identity": {submitted: true, committed: true, fingerprint: "f", code: pj.CodeConflict},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(1)
+			if test.submitted {
+				b.leader.Submit(job, func(pj.JobStatus, error) {})
+			}
+			if test.committed {
+				b.commit()
+			}
+			var st pj.JobStatus
+			var err error
+			b.leader.Repeated(pj.Job{ID: job.ID, Workspace: test.workspace, Fingerprint: test.fingerprint}, func(got pj.JobStatus, e error) { st, err = got, e })
+			if test.code == "" {
+				is.NoErr(err)
+				is.Equal(st.ID, job.ID)
+				return
+			}
+			is.True(err != nil)
+			is.Equal(pj.AsError(err).Code, test.code)
+			is.Equal(pj.AsError(err).NotRun, test.notRun)
+			is.Equal(st.ID, "")
+		})
+	}
+}
--- a/internal/server/api/callers.go
+++ b/internal/server/api/callers.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"regexp"
@@ -27,6 +28,9 @@
 	maxRequestID   = 100
 )
 
+// repetitionTimeout bounds how long a refusal waits for the cell's answer whether the job exists.
+const repetitionTimeout = 2 * time.Second
+
 func newRequestID() string {
 	b := make([]byte, requestIDBytes)
 	_, _ = rand.Read(b)
@@ -90,11 +94,16 @@
 		writeError(w, err)
 		return
 	}
-	job, err := a.buildJob(r.PathValue("id"), bearerToken(r), s)
-	if err != nil {
+	id := r.PathValue("id")
+	if err := a.checkJobID(id); err != nil {
 		writeError(w, err)
 		return
 	}
+	job, err := a.buildJob(id, bearerToken(r), s)
+	if err != nil {
+		a.refuseSubmission(w, r, s, pj.AsError(err))
+		return
+	}
 	st, err := a.node.Submit(r.Context(), job)
 	if err != nil {
 		writeError(w, err)
@@ -104,14 +113,66 @@
 	writeJSON(w, http.StatusAccepted, st)
 }
 
-// buildJob validates a submission and returns the job with the defaults of its queue.
-func (a *API) buildJob(id, secret string, s pj.Submission) (pj.Job, error) {
+// refuseSubmission responds to a submission that can't be accepted by the configuration and keys in force. They may have
+// changed since an attempt whose response was lost, so it asks the job's cell: the caller of a job that exists receives its
+// status, and the refusal has NotRun only if no attempt was accepted.
+func (a *API) refuseSubmission(w http.ResponseWriter, r *http.Request, s pj.Submission, refusal *pj.Error) {
+	if refusal.Code == pj.CodeNoQuorum || refusal.Code == pj.CodeKeysUnknown {
+		writeError(w, refusal) // of this VM only; another may accept the submission
+		return
+	}
+	id := r.PathValue("id")
+	fingerprint, err := s.Fingerprint()
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), repetitionTimeout)
+	defer cancel()
+	st, err := a.node.Repeated(ctx, pj.Job{
+		ID: id, Workspace: a.submitterWorkspace(s.Queue, bearerToken(r)), Queue: s.Queue, Payload: s.Payload, Fingerprint: fingerprint,
+	})
+	if err == nil {
+		writeJSON(w, http.StatusAccepted, st)
+		return
+	}
+	e := pj.AsError(err)
+	if !e.NotRun || (e.Code != pj.CodeUnknownJob && e.Code != pj.CodeConflict) {
+		uncertain := *refusal
+		uncertain.NotRun = false
+		uncertain.Message += fmt.Sprintf("; job %s may have been accepted before", id)
+		refusal = &uncertain
+	}
+	writeError(w, refusal)
+}
+
+// submitterWorkspace returns the workspace to which a job of the caller would belong, or "" if the caller can't be
+// identified.
+func (a *API) submitterWorkspace(queue, secret string) string {
+	directory := a.node.Directory()
+	if q, err := filter.FindQueue(directory, queue); err == nil {
+		if identity, err := filter.Authorize(directory, q, secret); err == nil {
+			return identity.Workspace
+		}
+	}
+	if identity, err := directory.Identify(secret); err == nil {
+		return identity.Workspace
+	}
+	return ""
+}
+
+func (a *API) checkJobID(id string) error {
 	if !jobIDPattern.MatchString(id) {
-		return pj.Job{}, pj.Refuse(pj.CodeBadRequest, "job id %q must have the form ZONE.RANDOM, with 4 to 64 letters, digits, _ or - after the dot", id)
+		return pj.Refuse(pj.CodeBadRequest, "job id %q must have the form ZONE.RANDOM, with 4 to 64 letters, digits, _ or - after the dot", id)
 	}
 	if !slices.Contains(a.node.Topology().Zones(), pj.HomeZone(id)) {
-		return pj.Job{}, pj.Refuse(pj.CodeBadRequest, "unknown zone %q in the job id", pj.HomeZone(id))
+		return pj.Refuse(pj.CodeBadRequest, "unknown zone %q in the job id", pj.HomeZone(id))
 	}
+	return nil
+}
+
+// buildJob validates a submission and returns the job with the defaults of its queue.
+func (a *API) buildJob(id, secret string, s pj.Submission) (pj.Job, error) {
 	q, err := filter.FindQueue(a.node.Directory(), s.Queue)
 	if err != nil {
 		return pj.Job{}, err
--- a/internal/server/daemon/daemon_test.go
+++ b/internal/server/daemon/daemon_test.go
@@ -262,45 +262,93 @@
 }
 
 // TestRepeatedSubmission guards against refusing the repetition of an accepted submission, whose answer may have been
-// lost, after the configuration has changed, and against acknowledging another submission that would never run.
+// lost, after the configuration or the keys have changed, and against acknowledging another submission that would never
+// run.
 func TestRepeatedSubmission(t *testing.T) {
+	const batchFile, theirsFile = "batch.queue.json", "theirs.queue.json"
 	s := startSystem(t, 10*time.Millisecond)
+	issued, err := s.client.GrantKey(t.Context(), pj.IssuedKey{Workspace: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyOfB := issued.Secret
+	s.eventually(t, func() error {
+		_, err := s.client.WithKey(keyOfB).Submit(t.Context(), "zone-1.warm", pj.Submission{Queue: "theirs"})
+		return err
+	})
 	batch := pj.Submission{Queue: "batch", Payload: "p"}
+	large := pj.Submission{Queue: "batch", Task: pj.NewResources(4, 4, 0, 0)}
+	theirs := pj.Submission{Queue: "theirs"}
+	other := func(change func(*pj.Submission)) pj.Submission {
+		changed := batch
+		change(&changed)
+		return changed
+	}
 	tests := map[string]struct {
-		replaced map[string]string // operator files that are published after the first submission
-		second   pj.Submission
-		code     pj.Code // empty if the second submission is accepted
-		notRun   bool
+		first, second       pj.Submission
+		firstKey, secondKey string
+		replaced            map[string]string // operator files that are published in between
+		code                pj.Code           // empty if the second submission is accepted
+		notRun              bool
 	}{
-		"no change": {second: batch},
+		"no change": {first: batch, second: batch},
 		"queue's number of tasks changed": {
-			replaced: map[string]string{"batch.queue.json": `{"queue": "batch", "workspace": "a", "kind": "batch", "urgency": "normal", "repeatable": true, "open": true, "tasks": 2, "task": {"cores": 1, "memory_gb": 1}}`},
-			second:   batch,
+			first: batch, second: batch,
+			replaced: map[string]string{batchFile: `{"queue": "batch", "workspace": "a", "kind": "batch", "urgency": "normal", "repeatable": true, "open": true, "tasks": 2, "task": {"cores": 1, "memory_gb": 1}}`},
 		},
 		"queue moved to another workspace": {
-			replaced: map[string]string{"batch.queue.json": `{"queue": "batch", "workspace": "b", "kind": "batch", "urgency": "normal", "repeatable": true, "open": true, "task": {"cores": 1, "memory_gb": 1}}`},
-			second:   batch, code: pj.CodeConflict,
+			first: batch, second: batch, code: pj.CodeConflict,
+			replaced: map[string]string{batchFile: `{"queue": "batch", "workspace": "b", "kind": "batch", "urgency": "normal", "repeatable": true, "open": true, "task": {"cores": 1, "memory_gb": 1}}`},
+		},
+		"other payload":   {first: batch, second: other(func(s *pj.Submission) { s.Payload = "x" }), code: pj.CodeConflict, notRun: true},
+		"other resources": {first: batch, second: other(func(s *pj.Submission) { s.Task = pj.NewResources(2, 2, 0, 0) }), code: pj.CodeConflict, notRun: true},
+		"other run time":  {first: batch, second: other(func(s *pj.Submission) { s.RunTime = pj.Duration(time.Minute) }), code: pj.CodeConflict, notRun: true},
+		"queue removed":   {first: theirs, second: theirs, firstKey: keyOfB, secondKey: keyOfB, replaced: map[string]string{theirsFile: ""}},
+		"open queue removed": {
+			first: batch, second: batch, code: pj.CodeUnknownQueue, replaced: map[string]string{batchFile: ""},
+		},
+		"queue removed, other payload": {
+			first: batch, second: other(func(s *pj.Submission) { s.Payload = "x" }), code: pj.CodeUnknownQueue, notRun: true, replaced: map[string]string{batchFile: ""},
+		},
+		"queue closed": {
+			first: batch, second: batch, code: pj.CodeNoKey,
+			replaced: map[string]string{batchFile: `{"queue": "batch", "workspace": "a", "kind": "batch", "urgency": "normal", "repeatable": true, "task": {"cores": 1, "memory_gb": 1}}`},
+		},
+		"queue is for requests now": {
+			first: batch, second: batch,
+			replaced: map[string]string{batchFile: `{"queue": "batch", "workspace": "a", "kind": "request", "urgency": "normal", "repeatable": true, "open": true}`},
+		},
+		"limit lowered": {
+			first: large, second: large,
+			replaced: map[string]string{"fleet.json": `{"workspaces": [
+				{"workspace": "a", "share": 1, "limit": {"cores": 2, "memory_gb": 64, "request_slots": 32}},
+				{"workspace": "b", "share": 1, "limit": {"cores": 8, "memory_gb": 16, "request_slots": 8}}]}`},
+		},
+		"key no longer valid": {first: theirs, second: theirs, firstKey: keyOfB, secondKey: "pj_wrong", code: pj.CodeWrongKey},
+		"queue moved away from the key's workspace": {
+			first: theirs, second: theirs, firstKey: keyOfB, secondKey: keyOfB,
+			replaced: map[string]string{theirsFile: `{"queue": "theirs", "workspace": "a", "kind": "batch", "urgency": "normal", "repeatable": true, "task": {"cores": 1, "memory_gb": 1}}`},
 		},
-		"other payload":   {second: pj.Submission{Queue: "batch", Payload: "x"}, code: pj.CodeConflict, notRun: true},
-		"other resources": {second: pj.Submission{Queue: "batch", Payload: "p", Task: pj.NewResources(2, 2, 0, 0)}, code: pj.CodeConflict, notRun: true},
-		"other run time":  {second: pj.Submission{Queue: "batch", Payload: "p", RunTime: pj.Duration(time.Minute)}, code: pj.CodeConflict, notRun: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			id := command.NewJobID("zone-1")
-			_, err := s.client.Submit(t.Context(), id, batch)
+			first, err := s.client.WithKey(test.firstKey).Submit(t.Context(), id, test.first)
 			is.NoErr(err)
 			s.publish(t, test.replaced)
 			defer s.publish(t, nil)
-			_, err = s.client.Submit(t.Context(), id, test.second)
+			second, err := s.client.WithKey(test.secondKey).Submit(t.Context(), id, test.second)
 			if test.code == "" {
 				is.NoErr(err)
+				is.Equal(second.Workspace, first.Workspace)
+				is.Equal(len(second.Tasks), len(first.Tasks))
 				return
 			}
 			is.True(err != nil)
 			is.Equal(pj.AsError(err).Code, test.code)
 			is.Equal(pj.AsError(err).NotRun, test.notRun)
+			is.Equal(second.ID, "") // nothing of the job is shown
 		})
 	}
 }
--- a/internal/server/node/cell.go
+++ b/internal/server/node/cell.go
@@ -180,6 +180,12 @@
 	})
 }
 
+func (n *Node) handleRepeated(ctx context.Context, job pj.Job) (pj.JobStatus, error) {
+	return runIfCellLeader(ctx, n, pj.HomeZone(job.ID), func(c *coordinator.Coordinator, reply func(pj.JobStatus, error)) {
+		c.Repeated(job, reply)
+	})
+}
+
 func (n *Node) handleCancel(ctx context.Context, q jobQuery) (pj.JobStatus, error) {
 	return runIfCellLeader(ctx, n, pj.HomeZone(q.ID), func(c *coordinator.Coordinator, reply func(pj.JobStatus, error)) {
 		c.Cancel(q.ID, q.Workspace, reply)
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -36,6 +36,12 @@
 	return st, n.callLeader(ctx, topology.CellGroup(pj.HomeZone(job.ID)), opSubmit, 0, job, &st)
 }
 
+// Repeated returns the status of the job that an earlier attempt of the same submission created. The error has NotRun and
+// CodeUnknownJob or CodeConflict if no attempt was accepted.
+func (n *Node) Repeated(ctx context.Context, job pj.Job) (st pj.JobStatus, err error) {
+	return st, n.callLeader(ctx, topology.CellGroup(pj.HomeZone(job.ID)), opRepeated, 0, job, &st)
+}
+
 // Job returns a job's status once the job has ended or wait has elapsed.
 func (n *Node) Job(ctx context.Context, id, workspace string, wait time.Duration) (st pj.JobStatus, err error) {
 	q := jobQuery{ID: id, Workspace: workspace, WaitMS: wait.Milliseconds()}
--- a/internal/server/node/operations.go
+++ b/internal/server/node/operations.go
@@ -17,6 +17,7 @@
 	opAllotments  = "allotments"
 	opFleetStatus = "fleet_status"
 	opSubmit      = "submit"
+	opRepeated    = "repeated"
 	opCancel      = "cancel"
 	opJob         = "job"
 	opReport      = "report"
@@ -39,6 +40,7 @@
 		opAllotments:  operation.NewHandler(n.fleet.handleAllotments),
 		opFleetStatus: operation.NewHandler(n.fleet.handleStatus),
 		opSubmit:      operation.NewHandler(n.handleSubmit),
+		opRepeated:    operation.NewHandler(n.handleRepeated),
 		opCancel:      operation.NewHandler(n.handleCancel),
 		opJob:         operation.NewHandler(n.handleJob),
 		opReport:      operation.NewHandler(n.handleReport),
