Client: after a lost response, a VM that is draining doesn't end the call

Seen: after an attempt whose response was lost, the next VM's draining, no_quorum or keys_unknown was returned to the caller, though a third VM knew the job. The caller learned neither "accepted" nor "not run".

Cause: whether to fail over was decided after "not run" had been cleared, and these codes call for failover only with it.

Change: the attempt's own error decides on failover; what the caller receives combines all attempts, as before.

Test: TestFailover, now with every code that a VM refuses a submission with after a lost response, and with contexts that end between attempts and at the second VM. On the code before, "lost response, second VM draining, third accepts" and the cases for no_quorum and keys_unknown failed (entry_test.go:89: false != true); all others passed: none of conflict, unknown_job, unknown_queue, no_key, wrong_key, bad_request, never_runs, overloaded and too_large was reported as "not run".

--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -127,6 +127,7 @@
 		if err == nil {
 			return response, nil
 		}
+		failOver := shouldFailOver(err, idempotent)
 		if mayHaveRun {
 			err = pj.ClearNotRun(err)
 		}
@@ -135,7 +136,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.current.Add(1) // the VM may be paused or partitioned; the next call goes to another
 		}
-		if !shouldFailOver(err, idempotent) || ctx.Err() != nil {
+		if !failOver || ctx.Err() != nil {
 			return response, err
 		}
 		c.current.Add(1)
