Client: an error status without an error of a VM isn't a success

Seen: a proxy or load balancer that answers 503 with a JSON body of its own made Submit, Cancel, Drain and the other calls return without an error; Submit's status was empty, so that a job counted as accepted that no VM had seen.

Cause: send returns a response whose body is no pj.Error as an endpoint's response, which is right for requests to queues only.

Change: the calls that aren't requests to queues fail with bad_answer and an unknown outcome.

Test: TestFailover, "error of a proxy"; on the code before: entry_test.go:89: true != false (err is nil).

--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -103,6 +103,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Status >= http.StatusBadRequest {
+		return pj.Fail(pj.CodeBadResponse, "status %d from something between this client and the VM", response.Status)
+	}
 	if out == nil {
 		return nil
 	}
--- a/internal/client/entry/entry_test.go
+++ b/internal/client/entry/entry_test.go
@@ -28,6 +28,10 @@
 	refuse := func(code pj.Code) http.HandlerFunc { return respondError(pj.Refuse(code, "refused")) }
 	accept := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"id": "z.a"}`)) }
 	dropResponse := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	proxyError := func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"message": "no healthy upstream"}`))
+	}
 	type testCase struct {
 		vms      []http.HandlerFunc // nil for an unreachable VM
 		cancelAt int                // the context of the call ends when this VM is called, counted from 1
@@ -44,6 +48,7 @@
 		"all VMs draining":                                 {vms: []http.HandlerFunc{refuse(pj.CodeDraining), refuse(pj.CodeDraining)}, code: pj.CodeDraining, notRun: true},
 		"first response lost, second VM unreachable":       {vms: []http.HandlerFunc{dropResponse, nil}, code: pj.CodeInternal},
 		"unknown outcome, not sent again":                  {vms: []http.HandlerFunc{respondError(pj.Fail(pj.CodeOutcomeUnknown, "lost")), accept}, code: pj.CodeOutcomeUnknown},
+		"error of a proxy":                                 {vms: []http.HandlerFunc{proxyError}, code: pj.CodeBadResponse},
 		"context ends after a lost response":               {vms: []http.HandlerFunc{dropResponse, refuse(pj.CodeDraining)}, cancelAt: 1, code: pj.CodeOutcomeUnknown},
 		"context ends before the only VM is tried again":   {vms: []http.HandlerFunc{dropResponse}, cancelAt: 1, code: pj.CodeOutcomeUnknown},
 		"lost response, context ends at the second VM":     {vms: []http.HandlerFunc{dropResponse, refuse(pj.CodeDraining)}, cancelAt: 2, code: pj.CodeOutcomeUnknown},
