Commands: an accepted job is never reported as not run

The load test counted jobs as "(not run)" that were accepted or whose first attempt had an unknown outcome. A conflict ended with 4 also where the job may be the caller's own.

Cause: "not run" of one call was taken for that of the job.

Change: submit and the load test combine the outcomes of their calls; 4 and 5 need "not run"; the text says that it speaks of this call; errors of submit carry the job's id.

--- a/internal/client/command/callers.go
+++ b/internal/client/command/callers.go
@@ -107,10 +107,11 @@
 				}
 				st, err := client.Submit(ctx, id, submission)
 				if err != nil {
-					return fmt.Errorf("job %s: %w", id, err)
+					return addJobID(id, err)
 				}
 				if wait {
-					return a.waitForJob(ctx, client, id)
+					// The job is accepted, so an error that says "not run" speaks of the query only.
+					return addJobID(id, pj.ClearNotRun(a.waitForJob(ctx, client, id)))
 				}
 				return a.print(st, func(w io.Writer) { writeJob(w, st) })
 			})
@@ -129,6 +130,20 @@
 		})
 }
 
+// addJobID adds the id of a job, which the user needs to query the job or to submit it again, to the message of an error.
+func addJobID(id string, err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *pj.Error
+	if !errors.As(err, &e) {
+		return fmt.Errorf("job %s: %w", id, err)
+	}
+	withID := *e
+	withID.Message = "job " + id + ": " + e.Message
+	return &withID
+}
+
 // newJobID returns a new job id; without a zone, it requests the status of the entry VM and uses its zone.
 func (a *App) newJobID(ctx context.Context, client *entry.Client, zone string) (string, error) {
 	if zone != "" {
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -27,8 +27,8 @@
 	ExitFailed       = 1 // any other error, such as a refused call or an unknown outcome
 	ExitUsage        = 2 // invalid command line
 	ExitInvalidFiles = 3 // operator files are invalid
-	ExitConflict     = 4 // another version of the configuration was published in between
-	ExitNotRun       = 5 // refused, and certainly not run
+	ExitConflict     = 4 // another version of the configuration was published in between, or the job id is that of another job
+	ExitNotRun       = 5 // refused; this call has certainly run nothing
 )
 
 const (
@@ -99,7 +99,7 @@
 		return ExitInvalidFiles
 	case !errors.As(err, &e):
 		return ExitFailed
-	case e.Code == pj.CodeConflict:
+	case e.Code == pj.CodeConflict && e.NotRun:
 		return ExitConflict
 	case len(e.Details) > 0:
 		return ExitInvalidFiles
@@ -126,7 +126,7 @@
 		_, _ = fmt.Fprintln(a.errOut, " ", d)
 	}
 	if e.NotRun {
-		_, _ = fmt.Fprintln(a.errOut, "  Nothing was run or changed.")
+		_, _ = fmt.Fprintln(a.errOut, "  Nothing was run or changed by this call.")
 	}
 }
 
--- a/internal/client/command/command_test.go
+++ b/internal/client/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	pj "papayajunction"
 	"papayajunction/internal/client/command"
 )
 
@@ -66,3 +68,60 @@
 		})
 	}
 }
+
+// TestSubmitOutcome guards against telling the user that nothing was run of a job that was accepted, or may have been.
+func TestSubmitOutcome(t *testing.T) {
+	const id = "z.abcd"
+	accept := func(w http.ResponseWriter) {
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write([]byte(`{"id": "z.abcd", "state": "queued"}`))
+	}
+	drop := func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+	respond := func(e *pj.Error) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) {
+			w.WriteHeader(e.HTTPStatus())
+			_ = json.NewEncoder(w).Encode(e)
+		}
+	}
+	refuse := func(code pj.Code) func(http.ResponseWriter) { return respond(pj.Refuse(code, "refused")) }
+	tests := map[string]struct {
+		args      []string
+		responses []func(http.ResponseWriter) // to the calls in order; the last one also to later calls
+		code      int
+		notRun    bool // the output says that nothing was run
+	}{
+		"refused":                              {responses: []func(http.ResponseWriter){refuse(pj.CodeNeverRuns)}, code: command.ExitNotRun, notRun: true},
+		"refused after a lost response":        {responses: []func(http.ResponseWriter){drop, refuse(pj.CodeNeverRuns)}, code: command.ExitFailed},
+		"outcome unknown":                      {responses: []func(http.ResponseWriter){respond(pj.Fail(pj.CodeOutcomeUnknown, "lost"))}, code: command.ExitFailed},
+		"other content":                        {responses: []func(http.ResponseWriter){refuse(pj.CodeConflict)}, code: command.ExitConflict, notRun: true},
+		"perhaps the caller's own job":         {responses: []func(http.ResponseWriter){respond(pj.Fail(pj.CodeConflict, "exists"))}, code: command.ExitFailed},
+		"conflict after a lost response":       {responses: []func(http.ResponseWriter){drop, refuse(pj.CodeConflict)}, code: command.ExitFailed},
+		"accepted, then its status is refused": {args: []string{"--wait"}, responses: []func(http.ResponseWriter){accept, refuse(pj.CodeKeysUnknown)}, code: command.ExitFailed},
+		"accepted, then unknown":               {args: []string{"--wait"}, responses: []func(http.ResponseWriter){accept, refuse(pj.CodeUnknownJob)}, code: command.ExitFailed},
+		"outcome unknown, in JSON":             {args: []string{"--output", "json"}, responses: []func(http.ResponseWriter){respond(pj.Fail(pj.CodeOutcomeUnknown, "lost"))}, code: command.ExitFailed},
+		"many, refused":                        {args: []string{"--count", "2", "--zone", "z"}, responses: []func(http.ResponseWriter){refuse(pj.CodeNeverRuns)}, code: command.ExitFailed, notRun: true},
+		"many, accepted, then unknown":         {args: []string{"--count", "2", "--zone", "z", "--parallel", "1"}, responses: []func(http.ResponseWriter){accept, refuse(pj.CodeUnknownJob), accept, refuse(pj.CodeUnknownJob)}, code: command.ExitFailed},
+		"many, first unknown, refused when retried": {args: []string{"--count", "2", "--zone", "z", "--parallel", "1"}, responses: []func(http.ResponseWriter){
+			respond(pj.Fail(pj.CodeOutcomeUnknown, "lost")), refuse(pj.CodeNeverRuns), respond(pj.Fail(pj.CodeOutcomeUnknown, "lost")), refuse(pj.CodeNeverRuns),
+		}, code: command.ExitFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				n := int(calls.Add(1))
+				test.responses[min(n, len(test.responses))-1](w)
+			}))
+			defer server.Close()
+			args := slices.Concat([]string{"submit", "--entry", strings.TrimPrefix(server.URL, "http://"), "--id", id}, test.args, []string{"q"})
+			var out, errOut bytes.Buffer
+			code := command.New(&out, &errOut).Run(t.Context(), args)
+			t.Log(code, out.String(), errOut.String())
+			is.Equal(code, test.code)
+			all := out.String() + errOut.String()
+			is.Equal(strings.Contains(all, "changed") || strings.Contains(all, "(not run)") || strings.Contains(all, `"not_run":true`), test.notRun)
+			is.True(strings.Contains(all, "z.")) // the job's id, which is needed to ask for it or to submit it again
+		})
+	}
+}
--- a/internal/client/command/loadtest.go
+++ b/internal/client/command/loadtest.go
@@ -173,13 +173,18 @@
 const jobRetryTimeout = 40 * time.Second
 
 // retryTransient retries an idempotent call, as callers are expected to, while the outcome is unknown,
-// there is no quorum or the error is internal.
+// there is no quorum or the error is internal. The error has NotRun only if no attempt can have had an effect.
 func retryTransient(ctx context.Context, call func() error) error {
+	mayHaveRun := false
 	for {
 		err := call()
 		if err == nil {
 			return nil
 		}
+		if mayHaveRun {
+			err = pj.ClearNotRun(err)
+		}
+		mayHaveRun = mayHaveRun || !pj.AsError(err).NotRun
 		code := pj.AsError(err).Code
 		if code != pj.CodeOutcomeUnknown && code != pj.CodeNoQuorum && code != pj.CodeInternal {
 			return err
@@ -210,7 +215,7 @@
 			return err
 		})
 		if err != nil {
-			return fmt.Errorf("job %s: %w", id, err)
+			return fmt.Errorf("job %s: %w", id, pj.ClearNotRun(err)) // the job is accepted
 		}
 		if st.State.Final() && st.State != pj.JobFinished {
 			return fmt.Errorf("%w: %s %s: %s", errJobFailed, id, st.State, st.Reason)
