--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -103,6 +103,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Status >= http.StatusBadRequest {
+		return pj.Fail(pj.CodeBadResponse, "status %d from something between this client and the VM", response.Status)
+	}
 	if out == nil {
 		return nil
 	}
@@ -127,6 +130,7 @@
 		if err == nil {
 			return response, nil
 		}
+		failOver := shouldFailOver(err, idempotent)
 		if mayHaveRun {
 			err = pj.ClearNotRun(err)
 		}
@@ -135,7 +139,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.current.Add(1) // the VM may be paused or partitioned; the next call goes to another
 		}
-		if !shouldFailOver(err, idempotent) || ctx.Err() != nil {
+		if !failOver || ctx.Err() != nil {
 			return response, err
 		}
 		c.current.Add(1)
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -13,16 +13,19 @@
 	reply func(pj.JobStatus, error)
 }
 
-// Submit commits a job to the replicated state and calls done with its status.
+// Submit commits a job to the replicated state and calls done with its status. The checks for new jobs don't apply to a
+// job that is already known or is being committed.
 func (c *Coordinator) Submit(job pj.Job, done func(pj.JobStatus, error)) {
-	if existing := c.options.State.Job(job.ID); existing == nil {
+	if c.options.State.Job(job.ID) == nil && c.submitting[job.ID] == 0 {
 		if err := c.checkAdmission(job); err != nil {
 			done(pj.JobStatus{}, err)
 			return
 		}
 	}
 	job.SubmittedAt = c.options.UnixMilli()
+	c.submitting[job.ID]++
 	c.commit(cell.Command{Submit: &job}, func(r pj.CommitResult) {
+		c.submitted(job.ID)
 		if r.Err != nil {
 			done(pj.JobStatus{}, r.Err)
 			return
@@ -46,6 +49,32 @@
 	})
 }
 
+// Repeated replies with the status of the job that an earlier attempt of the same submission created. Of job, only the
+// fields that the caller has set and the workspace are needed. An error with NotRun says that no attempt was accepted.
+func (c *Coordinator) Repeated(job pj.Job, reply func(pj.JobStatus, error)) {
+	r := c.options.State.Job(job.ID)
+	switch {
+	case r == nil && c.submitting[job.ID] > 0:
+		reply(pj.JobStatus{}, pj.Fail(pj.CodeOutcomeUnknown, "job %s is being committed", job.ID))
+	case r == nil:
+		reply(pj.JobStatus{}, unknownJobError(job.ID))
+	default:
+		if err := r.CheckRepetition(&job); err != nil {
+			reply(pj.JobStatus{}, err)
+			return
+		}
+		reply(c.jobStatus(r), nil)
+	}
+}
+
+// submitted records that a submission is no longer being committed.
+func (c *Coordinator) submitted(id string) {
+	c.submitting[id]--
+	if c.submitting[id] <= 0 {
+		delete(c.submitting, id)
+	}
+}
+
 // checkAdmission returns the error with which a new job is rejected, or nil if it is admitted.
 func (c *Coordinator) checkAdmission(job pj.Job) *pj.Error {
 	// Until every worker has had time to report to a new leader, the cell's capacity is incomplete and
