--- a/job.go
+++ b/job.go
@@ -1,9 +1,6 @@
 package papayajunction
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -27,9 +24,6 @@
 	return s == JobFinished || s == JobFailed || s == JobCancelled
 }
 
-// fingerprintBytes is the number of bytes of a fingerprint, which is twice as long in hexadecimal.
-const fingerprintBytes = 16
-
 // Submission is the request with which a caller submits a job. Fields added to it must be left out of its JSON form
 // when they are zero, so that fingerprints stay the same.
 type Submission struct {
@@ -43,12 +37,11 @@
 // Fingerprint returns a hash by which a repetition of the submission is recognised. Unlike the job that is built from
 // the submission, it doesn't depend on the configuration of the queue.
 func (s Submission) Fingerprint() (string, error) {
-	data, err := json.Marshal(s)
+	hash, err := fingerprint(s)
 	if err != nil {
-		return "", fmt.Errorf("encode submission: %w", err)
+		return "", fmt.Errorf("submission to queue %s: %w", s.Queue, err)
 	}
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:fingerprintBytes]), nil
+	return hash, nil
 }
 
 // Job is a durable unit of work: one or more identical tasks, which run on workers.
--- a/workflow.go
+++ b/workflow.go
@@ -1,16 +1,14 @@
 package papayajunction
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 )
 
-// Step is one stage of a workflow: a number of identical tasks.
+// Step is one stage of a workflow: a number of identical tasks. It is part of the fingerprint, so fields added to it must be left out of its JSON
+// form while they are zero.
 type Step struct {
 	Tasks             int       `json:"tasks"`
 	Task              Resources `json:"task,omitzero"` // resources of each task
@@ -77,13 +75,10 @@
 	return w.StartAtMS + int64(occurrence)*w.IntervalMS
 }
 
-// fingerprintBytes is the length of a fingerprint before its encoding.
-const fingerprintBytes = 16
-
 // Fingerprint returns a hash of what the submitter asked for: the specification, the steps and the schedule. What the queue's policy and the
 // time of acceptance add is left out, so that a workflow has the same fingerprint whenever it is submitted.
 func (w *Workflow) Fingerprint() (string, error) {
-	content, err := json.Marshal(struct {
+	hash, err := fingerprint(struct {
 		Spec                 string `json:"spec"`
 		Steps                []Step `json:"steps"`
 		ScheduledOccurrences int    `json:"times"`
@@ -91,10 +86,9 @@
 		IntervalMS           int64  `json:"interval_ms"`
 	}{w.Spec, w.Steps, w.ScheduledOccurrences, w.StartAtMS, w.IntervalMS})
 	if err != nil {
-		return "", fmt.Errorf("encode workflow %s: %w", w.ID, err)
+		return "", fmt.Errorf("workflow %s: %w", w.ID, err)
 	}
-	sum := sha256.Sum256(content)
-	return hex.EncodeToString(sum[:fingerprintBytes]), nil
+	return hash, nil
 }
 
 // Maxima of an accepted workflow. The state of each task of each occurrence is held in memory.
