Callers reach only workflows that they may have submitted

What callers could see: without a key, through any open queue, the state of any workspace's workflow by its id, and its cancelling. And the other way round: a workflow submitted without a key was unknown (410) to its own submitter once its queue needed one, though a repetition of its submission was acknowledged. Cause: an empty workspace matched every workflow, and a workspace none without one; what the submitter's call had in common with later ones wasn't recorded. Change: a workflow keeps its origin, the host and path prefix at which it was submitted. A caller with a key reaches its workspace's workflows, as before; where one of the two had no key, the origin has to be the same. So a queue may become open, or cease to be, without making its jobs unknown. Workflows of earlier versions have no origin and are reached as before. Cost: about 30 bytes a workflow and a query.

--- a/authorization.go
+++ b/authorization.go
@@ -58,7 +58,27 @@
 	return a.workspace
 }
 
+// Reach returns which workflows the request may read and cancel.
+func (a Authorization) Reach() Reach {
+	return Reach{Workspace: a.workspace, Origin: a.route.Origin()}
+}
+
 // RulesVersion returns the version of the rules that permit the request.
 func (a Authorization) RulesVersion() int64 {
 	return a.rulesVersion
 }
+
+// Reach is the set of workflows that a caller may read and cancel.
+type Reach struct {
+	Workspace string `json:"workspace,omitempty"` // "" for a caller of an open queue without a known key
+	Origin    string `json:"origin,omitempty"`    // address of the queue that was called; see Route.Origin
+}
+
+// Includes reports whether the caller may have submitted the workflow. Keys tell workspaces apart; where there was no key, then or now,
+// because the queue was or became an open one, the queue's address has to be the same.
+func (r Reach) Includes(w *Workflow) bool {
+	if r.Workspace != "" && w.Workspace != "" {
+		return r.Workspace == w.Workspace
+	}
+	return w.Origin == "" || w.Origin == r.Origin // workflows of earlier versions have no origin
+}
--- a/internal/control/runs/failure_test.go
+++ b/internal/control/runs/failure_test.go
@@ -201,7 +201,7 @@
 			}
 			start := s.group.queued
 			s.group.queued, s.group.paused = nil, false
-			s.c.Cancel("cancelled", "team", func(error) {}) // is committed first
+			s.c.Cancel("cancelled", ofTeam, func(error) {}) // is committed first
 			for _, commit := range start {
 				commit()
 			}
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -131,6 +131,9 @@
 	testTime        = int64(1_700_000_000_000)
 )
 
+// ofTeam is what callers with a key of the workspace may reach.
+var ofTeam = pj.Reach{Workspace: "team"}
+
 var errNoAnswer = errors.New("no answer")
 
 // newCell returns a cell with workers of 8 cores each that have answered their first poll.
@@ -260,7 +263,7 @@
 }
 
 func (x *cell) state(id string) pj.WorkflowState {
-	s, err := x.c.Status(id, "team")
+	s, err := x.c.Status(id, ofTeam)
 	x.is.NoErr(err)
 	return s
 }
--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -197,7 +197,7 @@
 		},
 		"a cancelled workflow's run is stopped": func(x *cell, start *order) {
 			start.answer(nil)
-			x.c.Cancel("a", "team", func(err error) { x.is.NoErr(err) })
+			x.c.Cancel("a", ofTeam, func(err error) { x.is.NoErr(err) })
 			x.c.Flush()
 			stops := x.orders.take("stop")
 			x.is.Equal(len(stops), 1)
--- a/internal/control/runs/placement_test.go
+++ b/internal/control/runs/placement_test.go
@@ -171,7 +171,7 @@
 		x.advance(100 * time.Millisecond)
 		number := int64(id[0]-'a') + 1
 		x.answerPolls(map[string]pj.PollResponse{"w0": {Finished: []pj.EndedRun{{Number: number, Run: start.run, Outcome: pj.EndFailed}}}})
-		x.c.Cancel(id, "team", func(error) {})
+		x.c.Cancel(id, ofTeam, func(error) {})
 	}
 	x.orders.take("start")
 	x.submit("many", pj.Step{Tasks: 3, Task: pj.NewResources(1, 1, 0, 0), EstimateMS: 1000})
--- a/internal/control/runs/retention_test.go
+++ b/internal/control/runs/retention_test.go
@@ -31,7 +31,7 @@
 			x.retention = test.retention
 			x.elect(2)
 			x.c.Submit(pj.Workflow{ID: "a", Queue: "q", Workspace: "team", Pool: "pool", Steps: []pj.Step{oneTask()}, MaxAttempts: 1}, func(err error) { is.NoErr(err) })
-			x.c.Cancel("a", "team", func(err error) { is.NoErr(err) })
+			x.c.Cancel("a", ofTeam, func(err error) { is.NoErr(err) })
 			x.clock.now += test.after
 			x.advance(2 * time.Second)
 			is.Equal(x.group.state.Record("a") != nil, test.kept)
--- a/internal/control/runs/submit_test.go
+++ b/internal/control/runs/submit_test.go
@@ -67,7 +67,7 @@
 		}
 	}
 	cancel := func(x *cell, _ *order) {
-		x.c.Cancel("a", "team", func(err error) { x.is.NoErr(err) })
+		x.c.Cancel("a", ofTeam, func(err error) { x.is.NoErr(err) })
 	}
 	restart := func(before func(*cell, *order)) func(*cell, *order) {
 		return func(x *cell, start *order) {
--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -66,9 +66,9 @@
 }
 
 // Cancel cancels a workflow and calls done once that is committed.
-func (c *Controller) Cancel(id, workspace string, done func(error)) {
+func (c *Controller) Cancel(id string, reach pj.Reach, done func(error)) {
 	r := c.options.State.Record(id)
-	if r == nil || (workspace != "" && r.Workflow.Workspace != workspace) {
+	if r == nil || !reach.Includes(&r.Workflow) {
 		done(pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known", id))
 		return
 	}
@@ -87,9 +87,9 @@
 }
 
 // Status returns the state of a workflow.
-func (c *Controller) Status(id, workspace string) (pj.WorkflowState, error) {
+func (c *Controller) Status(id string, reach pj.Reach) (pj.WorkflowState, error) {
 	r := c.options.State.Record(id)
-	if r == nil || (workspace != "" && r.Workflow.Workspace != workspace) {
+	if r == nil || !reach.Includes(&r.Workflow) {
 		return "", pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known", id)
 	}
 	return r.State(), nil
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -178,7 +178,7 @@
 
 // State returns the state of a workflow.
 func (v *VM) State(ctx context.Context, a pj.Authorization, id string) (pj.WorkflowState, error) {
-	query := workflowQuery{ID: id, Workspace: a.Workspace()}
+	query := workflowQuery{ID: id, Reach: a.Reach()}
 	if state, ok := v.finalStates.get(query.key()); ok {
 		return state, nil
 	}
@@ -200,7 +200,7 @@
 
 // Cancel ends a workflow.
 func (v *VM) Cancel(ctx context.Context, a pj.Authorization, id string) error {
-	err := v.callLeaderFor(ctx, a, opCancel, workflowQuery{ID: id, Workspace: a.Workspace()}, nil)
+	err := v.callLeaderFor(ctx, a, opCancel, workflowQuery{ID: id, Reach: a.Reach()}, nil)
 	v.log("cancel", "workflow", id, "workspace", a.Workspace(), "rules_version", a.RulesVersion(), "err", err)
 	return err
 }
--- a/internal/server/cluster/messages.go
+++ b/internal/server/cluster/messages.go
@@ -60,15 +60,16 @@
 	ReadReplica  string      `json:"near,omitempty"` // the replica that serves this VM's reads; empty if the leader serves them itself
 }
 
-// workflowQuery identifies a workflow of a workspace; an empty workspace matches any.
+// workflowQuery identifies a workflow, and what the caller may reach.
 type workflowQuery struct {
-	ID        string `json:"id"`
-	Workspace string `json:"workspace,omitempty"`
+	pj.Reach
+
+	ID string `json:"id"`
 }
 
 // key returns the query as a key of maps.
 func (q workflowQuery) key() string {
-	return q.Workspace + "/" + q.ID
+	return q.Workspace + " " + q.Origin + q.ID
 }
 
 // adviseRequest is the leader's request to a VM to query the queue's policy.
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -94,13 +94,13 @@
 
 func (r *replica) runCancel(ctx context.Context, q workflowQuery) (struct{}, error) {
 	return runIfLeader(ctx, r, func(reply func(struct{}, error)) {
-		r.controller.Cancel(q.ID, q.Workspace, func(err error) { reply(struct{}{}, err) })
+		r.controller.Cancel(q.ID, q.Reach, func(err error) { reply(struct{}{}, err) })
 	})
 }
 
 func (r *replica) runState(ctx context.Context, q workflowQuery) (pj.WorkflowState, error) {
 	return runIfLeader(ctx, r, func(reply func(pj.WorkflowState, error)) {
-		reply(r.controller.Status(q.ID, q.Workspace))
+		reply(r.controller.Status(q.ID, q.Reach))
 	})
 }
 
--- a/internal/server/cluster/read_replica.go
+++ b/internal/server/cluster/read_replica.go
@@ -58,7 +58,7 @@
 			return
 		}
 		record := r.state.Record(q.ID)
-		if record == nil || (q.Workspace != "" && record.Workflow.Workspace != q.Workspace) {
+		if record == nil || !q.Includes(&record.Workflow) {
 			reply("", pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known on this replica", q.ID))
 			return
 		}
--- a/ruleset.go
+++ b/ruleset.go
@@ -33,6 +33,11 @@
 	Advice      *AdvicePolicy `json:"advice,omitempty"`
 }
 
+// Origin returns the address at which the queue's workflows are submitted: the host and the prefix of their paths.
+func (r *Route) Origin() string {
+	return r.Host + r.PathPrefix
+}
+
 // AdvicePolicy is set on queues with a placement policy, which allows only some workers to run a step.
 // A decision takes DecisionMS plus PerWorkerMS for each candidate worker, and its tickets are valid
 // for ValidityMS.
--- a/workflow.go
+++ b/workflow.go
@@ -43,7 +43,8 @@
 	ID                   string `json:"id"`
 	Queue                string `json:"queue"`
 	Workspace            string `json:"workspace"`
-	Pool                 string `json:"pool"` // pool of workers that run it
+	Origin               string `json:"origin,omitempty"` // address of the queue when it was submitted; see Route.Origin
+	Pool                 string `json:"pool"`             // pool of workers that run it
 	Spec                 string `json:"spec,omitempty"`
 	Steps                []Step `json:"steps"`
 	ScheduledOccurrences int    `json:"times,omitempty"` // number of scheduled occurrences; 0 for a workflow that runs once, immediately
