Leader client: an error without NotRun is never a certain refusal

Found by the reviewer; latent: attempts.handleError went by the code alone, and took not_leader and no_quorum without NotRun for attempts without an effect.

--- /dev/null
+++ b/internal/server/leaderclient/refusal_test.go
@@ -0,0 +1,31 @@
+package leaderclient_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	pj "papayajunction"
+	"papayajunction/internal/server/leaderclient"
+)
+
+// TestRefusalWithoutNotRun: an attempt whose error lacks NotRun may have had an effect, whatever its code. No operation answers so today.
+func TestRefusalWithoutNotRun(t *testing.T) {
+	for _, code := range []pj.Code{pj.CodeNotLeader, pj.CodeNoQuorum} {
+		t.Run(string(code), func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var client leaderclient.Client
+			_, err := client.Do(ctx, leaderclient.Call{
+				Group: "g", Members: []string{"a"}, Clock: &clock{},
+				Run: func(context.Context, string) error {
+					cancel()
+					return pj.Fail(code, "of an earlier attempt, nothing is known")
+				},
+			})
+			is.True(!pj.AsError(err).NotRun)
+		})
+	}
+}
