Submissions in flight: work whose cancelling found none doesn't run

What callers could see: a submission gets no answer because a disk or a link is slow; its caller cancels the job, is told that there is none (410, 404), and the job runs. A query for its state got the same answer. And a repetition was proposed beside the first. Cause: until a submission is committed the replicated state has no record, and its absence was taken for the absence of the job. Class: an answer from a state that doesn't hold yet what was already sent to be stored. Change: inflight.Submissions knows the ids whose commit is in flight. Repetitions and cancels wait for it and then go on by the record; a query is answered as of unknown outcome. If the commit fails, its outcome is that of the calls that waited, without NotRun. What it can't know: a submission that is still on its way to the leader.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"papayajunction/internal/control/cell"
 	"papayajunction/internal/control/estimate"
 	"papayajunction/internal/control/fairness"
+	"papayajunction/internal/control/inflight"
 	"papayajunction/internal/control/quarantine"
 	"papayajunction/internal/control/scheduler"
 	"papayajunction/internal/control/slots"
@@ -70,8 +71,8 @@
 
 	workers           map[string]*workerView
 	attempts          map[pj.AttemptID]*attemptView
-	waiters           map[string][]*jobWaiter     // by job id
-	submitting        map[string]int              // by job id: number of submissions whose commit is in flight
+	waiters           map[string][]*jobWaiter // by job id
+	submissions       inflight.Submissions
 	pendingAllotments map[string]pj.Allotment     // by workspace: allotments whose commit is in flight
 	overAllotments    map[string]int              // by workspace: number of consecutive allotments below its current usage
 	temporaryLimits   map[string]temporaryLimit   // by workspace, while its tasks are being preempted
@@ -99,7 +100,6 @@
 		workers:           make(map[string]*workerView),
 		attempts:          make(map[pj.AttemptID]*attemptView),
 		waiters:           make(map[string][]*jobWaiter),
-		submitting:        make(map[string]int),
 		pendingAllotments: make(map[string]pj.Allotment),
 		overAllotments:    make(map[string]int),
 		temporaryLimits:   make(map[string]temporaryLimit),
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -16,16 +16,20 @@
 // Submit commits a job to the replicated state and calls done with its status. The checks for new jobs don't apply to a
 // job that is already known or is being committed.
 func (c *Coordinator) Submit(job pj.Job, done func(pj.JobStatus, error)) {
-	if c.options.State.Job(job.ID) == nil && c.submitting[job.ID] == 0 {
+	resubmit := func() { c.Submit(job, done) }
+	if c.submissions.Await(job.ID, then(resubmit, done)) {
+		return
+	}
+	if c.options.State.Job(job.ID) == nil {
 		if err := c.checkAdmission(job); err != nil {
 			done(pj.JobStatus{}, err)
 			return
 		}
 	}
 	job.SubmittedAt = c.options.UnixMilli()
-	c.submitting[job.ID]++
+	c.submissions.Begin(job.ID)
 	c.commit(cell.Command{Submit: &job}, func(r pj.CommitResult) {
-		c.submitted(job.ID)
+		defer c.submissions.End(job.ID, r.Err)
 		if r.Err != nil {
 			done(pj.JobStatus{}, r.Err)
 			return
@@ -54,8 +58,8 @@
 func (c *Coordinator) Repeated(job pj.Job, reply func(pj.JobStatus, error)) {
 	r := c.options.State.Job(job.ID)
 	switch {
-	case r == nil && c.submitting[job.ID] > 0:
-		reply(pj.JobStatus{}, pj.Fail(pj.CodeOutcomeUnknown, "job %s is being committed", job.ID))
+	case c.submissions.Contains(job.ID):
+		reply(pj.JobStatus{}, beingCommittedError(job.ID))
 	case r == nil:
 		reply(pj.JobStatus{}, unknownJobError(job.ID))
 	default:
@@ -67,11 +71,14 @@
 	}
 }
 
-// submitted records that a submission is no longer being committed.
-func (c *Coordinator) submitted(id string) {
-	c.submitting[id]--
-	if c.submitting[id] <= 0 {
-		delete(c.submitting, id)
+// then returns a function that goes on with next unless the submission that was waited for failed; its outcome is then unknown to done, too.
+func then(next func(), done func(pj.JobStatus, error)) func(error) {
+	return func(err error) {
+		if err != nil {
+			done(pj.JobStatus{}, pj.ClearNotRun(err))
+			return
+		}
+		next()
 	}
 }
 
@@ -100,6 +107,9 @@
 
 // Cancel cancels a job and stops its running tasks.
 func (c *Coordinator) Cancel(id, workspace string, done func(pj.JobStatus, error)) {
+	if c.submissions.Await(id, then(func() { c.Cancel(id, workspace, done) }, done)) {
+		return
+	}
 	r := c.options.State.Job(id)
 	if r == nil || (workspace != "" && r.Job.Workspace != workspace) {
 		done(pj.JobStatus{}, unknownJobError(id))
@@ -119,6 +129,11 @@
 	})
 }
 
+// beingCommittedError is for queries while it isn't known whether there is a job.
+func beingCommittedError(id string) *pj.Error {
+	return pj.Fail(pj.CodeOutcomeUnknown, "the submission of job %s is being committed", id)
+}
+
 func unknownJobError(id string) *pj.Error {
 	return pj.Refuse(pj.CodeUnknownJob, "unknown job %s", id)
 }
@@ -126,6 +141,10 @@
 // Status replies with a job's status: at once if the job has ended or wait is 0, otherwise when it
 // ends or wait has elapsed.
 func (c *Coordinator) Status(id, workspace string, wait time.Duration, reply func(pj.JobStatus, error)) {
+	if c.submissions.Contains(id) {
+		reply(pj.JobStatus{}, beingCommittedError(id))
+		return
+	}
 	r := c.options.State.Job(id)
 	if r == nil || (workspace != "" && r.Job.Workspace != workspace) {
 		reply(pj.JobStatus{}, unknownJobError(id))
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -12,6 +12,7 @@
 
 	pj "papayajunction"
 	"papayajunction/internal/control/fairness"
+	"papayajunction/internal/control/inflight"
 	"papayajunction/internal/control/quarantine"
 	"papayajunction/internal/control/workflow"
 )
@@ -84,9 +85,10 @@
 
 	byWorkflow        map[string][]*taskSet
 	byWorkspace       map[string]map[*run]struct{} // runs that hold capacity
-	unrecordedStarts  map[string]struct{}          // workflows with a run that was observed on a worker, but without a committed end of a run
-	waiting           waitingSets                  // task sets with pending tasks
-	delayed           []*taskSet                   // task sets whose scheduled start time lies ahead
+	submissions       inflight.Submissions
+	unrecordedStarts  map[string]struct{} // workflows with a run that was observed on a worker, but without a committed end of a run
+	waiting           waitingSets         // task sets with pending tasks
+	delayed           []*taskSet          // task sets whose scheduled start time lies ahead
 	advisors          map[string]*advisor
 	allowedShares     map[string]float64 // by queue: moving average of the fraction of workers that its policy allows
 	blocked           []Blocked          // see Load
--- a/internal/control/runs/unknown_test.go
+++ b/internal/control/runs/unknown_test.go
@@ -14,7 +14,7 @@
 	submitted, cancelled := errNoAnswer, errNoAnswer
 	w := pj.Workflow{ID: "a", Queue: "q", Workspace: "team", Pool: "pool", Spec: "s", Steps: []pj.Step{oneTask()}, MaxAttempts: 1}
 	x.c.Submit(w, func(err error) { submitted = err })
-	x.c.Cancel("a", "team", func(err error) { cancelled = err })
+	x.c.Cancel("a", ofTeam, func(err error) { cancelled = err })
 	x.group.resume()
 	x.flush()
 	x.is.NoErr(submitted)
@@ -32,10 +32,10 @@
 	x.submitWorkflow(w)
 	w.Workspace = "team"
 	x.submitWorkflow(w) // accepted as a repetition
-	_, err := x.c.Status("a", "team")
+	_, err := x.c.Status("a", ofTeam)
 	x.is.NoErr(err)
-	x.c.Cancel("a", "team", func(err error) { x.is.NoErr(err) })
-	state, err := x.c.Status("a", "")
+	x.c.Cancel("a", ofTeam, func(err error) { x.is.NoErr(err) })
+	state, err := x.c.Status("a", pj.Reach{})
 	x.is.NoErr(err)
 	x.is.Equal(state, pj.WorkflowCancelled)
 }
--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -13,8 +13,13 @@
 		done(c.resubmitted(r, &w))
 		return
 	}
+	if c.submissions.Await(w.ID, then(func() { c.Submit(w, done) }, done)) {
+		return
+	}
 	w.AcceptedAt = c.options.UnixMilli()
+	c.submissions.Begin(w.ID)
 	c.commit(workflow.Command{Submit: &w}, func(r workflow.Result, err error) {
+		defer c.submissions.End(w.ID, err)
 		if err != nil {
 			done(err)
 			return
@@ -32,6 +37,17 @@
 	})
 }
 
+// then returns a function that goes on with next unless the submission that was waited for failed; its outcome is then unknown to done, too.
+func then(next func(), done func(error)) func(error) {
+	return func(err error) {
+		if err != nil {
+			done(pj.ClearNotRun(err))
+			return
+		}
+		next()
+	}
+}
+
 // resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
 // name and policy may have changed, and its key may have been withdrawn. The error has NotRun only if it is certainly another one.
 func (c *Controller) resubmitted(r *workflow.Record, w *pj.Workflow) error {
@@ -67,6 +83,9 @@
 
 // Cancel cancels a workflow and calls done once that is committed.
 func (c *Controller) Cancel(id string, reach pj.Reach, done func(error)) {
+	if c.submissions.Await(id, then(func() { c.Cancel(id, reach, done) }, done)) {
+		return
+	}
 	r := c.options.State.Record(id)
 	if r == nil || !reach.Includes(&r.Workflow) {
 		done(pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known", id))
@@ -86,8 +105,11 @@
 	})
 }
 
-// Status returns the state of a workflow.
+// Status returns the state of a workflow. While its submission is being committed, it is not known whether there is one.
 func (c *Controller) Status(id string, reach pj.Reach) (pj.WorkflowState, error) {
+	if c.submissions.Contains(id) {
+		return "", pj.Fail(pj.CodeOutcomeUnknown, "the submission of workflow %s is being committed", id)
+	}
 	r := c.options.State.Record(id)
 	if r == nil || !reach.Includes(&r.Workflow) {
 		return "", pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known", id)
