Soak: callers repeat accepted jobs, lose responses and take a refusal as final

On the users' platform an accepted job that had ended was answered with 409 when it came again. The soak could not see this: it submitted a job until it was accepted and never again, each caller waited for its response, and one that was refused came again, so that hardly any job was refused by every response.

Change: callers drawn from the seed and the number of the job, not from the generators of faults and load. Some give up their first attempt after 2 ms to 1 s and return up to 3 s later; some don't return after a refusal; some submit an accepted job again at another entry up to 5 s later; some submit another spec or other steps under its id.

--- a/internal/soak/blocked.go
+++ b/internal/soak/blocked.go
@@ -46,11 +46,17 @@
 func (l *load) submitBlockedJob(ctx context.Context, n int) {
 	route, _ := newWork("")
 	for ctx.Err() == nil {
-		if err := l.client.Submit(ctx, l.randomAddress(entryRole, frontPort), route, blockedKey, newBlockedWork(n)); err == nil {
+		err := l.client.Submit(ctx, l.randomAddress(entryRole, frontPort), route, blockedKey, newBlockedWork(n))
+		_, permanent := refused(err)
+		switch {
+		case err == nil:
 			l.mu.Lock()
 			l.blocked++
 			l.mu.Unlock()
 			return
+		case permanent:
+			l.recordViolation("blocked job %d was refused: %v", n, err)
+			return
 		}
 		time.Sleep(retryDelay)
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -32,6 +32,7 @@
 
 // load submits jobs, publishes rulesets and sends heartbeats, and checks the responses against what was acknowledged before.
 type load struct {
+	seed   uint64
 	size   Size
 	client Client
 	fleet  *polledworker.Fleet
@@ -42,14 +43,19 @@
 	started      map[string]bool // workflows of which a worker has accepted a start
 	published    int64           // latest ruleset version that was acknowledged
 	publications publications
-	blocked      int            // jobs that can't start and were accepted
-	submitters   sync.WaitGroup // calls of submit that have not returned
+	blocked      int // jobs that can't start and were accepted
 	violations   []string
+	submitters   sync.WaitGroup // calls that submit jobs and have not returned
+
+	callerRand      *rand.Rand
+	repeated        int // jobs that were submitted again after their acceptance
+	repeatedRefused int // of these, refused by an entry that could not tell
+	replaced        int // jobs under whose id another one was submitted
 }
 
 func newLoad(seed uint64, size Size, client Client, fleet *polledworker.Fleet) *load {
 	return &load{
-		size: size, client: client, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // not for secrets
+		seed: seed, size: size, client: client, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 2)), callerRand: rand.New(rand.NewPCG(seed, addressStream)), //nolint:gosec // not for secrets
 		jobs: make(map[string]*job), started: make(map[string]bool), publications: publications{acknowledgedAt: make(map[int64]time.Time)},
 	}
 }
@@ -60,7 +66,8 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
-// checkingClient records started workflows and checks that no task starts before the step it depends on has finished.
+// checkingClient records started workflows and checks that no task starts before the step it depends on has finished, and none of another
+// job than the first one under its id.
 type checkingClient struct {
 	pj.WorkerClient
 	load *load
@@ -75,6 +82,10 @@
 	c.load.mu.Lock()
 	c.load.started[r.Run.Task.Workflow] = true
 	c.load.mu.Unlock()
+	_, submitted := newWork(r.Run.Task.Workflow)
+	if step := r.Run.Task.Step; step >= len(submitted.Steps) || r.Run.Task.Index >= submitted.Steps[step].Tasks || r.Spec != submitted.Spec {
+		c.load.recordViolation("task %s with the spec %q was started, which is none of the job that was accepted", r.Run.Task, r.Spec)
+	}
 	if r.Run.Task.Step > 0 {
 		for i := range firstStepTasks {
 			dependency := pj.TaskID{StepID: pj.StepID{Workflow: r.Run.Task.Workflow}, Index: i}
@@ -86,17 +97,22 @@
 	return clock, nil
 }
 
-// randomAddress returns the address of a random VM with the given role.
-func (l *load) randomAddress(role string, port int) string {
-	var list []vm
+// addresses returns the addresses of the VMs with the given role.
+func (l *load) addresses(role string, port int) (list []string) {
 	for _, v := range l.size.vms() {
 		if v.role == role {
-			list = append(list, v)
+			list = append(list, v.address(port))
 		}
 	}
+	return list
+}
+
+// randomAddress returns the address of a random VM with the given role.
+func (l *load) randomAddress(role string, port int) string {
+	list := l.addresses(role, port)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return list[l.rand.IntN(len(list))].address(port)
+	return list[l.rand.IntN(len(list))]
 }
 
 // newWork returns the load's only route and a workflow of two steps for it; the second step depends on the first.
@@ -123,33 +139,55 @@
 	}
 }
 
-// submit submits a job until it is accepted, at most maxSubmitAttempts times, and then cancels it if cancel is set.
-func (l *load) submit(ctx context.Context, id string, cancel bool) {
+// submit submits a job until it is accepted, at most maxSubmitAttempts times, and then does what its caller does with an accepted job.
+func (l *load) submit(ctx context.Context, id string, c caller) {
+	entry, accepted := l.submitUntilAccepted(ctx, id, &c)
+	if !accepted {
+		return
+	}
+	l.afterAcceptance(ctx, id, entry, &c)
+	if c.cancels {
+		l.cancel(ctx, id)
+	}
+}
+
+// submitUntilAccepted returns whether a job was accepted, and by which entry. A refusal that isn't because of the state of the cell is never
+// true: the rules always permit the job, and no other one has its id.
+func (l *load) submitUntilAccepted(ctx context.Context, id string, c *caller) (entry string, accepted bool) {
 	route, w := newWork(id)
 	j := &job{rejected: true}
 	l.mu.Lock()
 	l.jobs[id] = j
 	l.mu.Unlock()
-	accepted := false
-	for range maxSubmitAttempts {
-		err := l.client.Submit(ctx, l.randomAddress(entryRole, frontPort), route, apiKey, w)
-		accepted = err == nil
+	for i := range maxSubmitAttempts {
+		entry = l.randomAddress(entryRole, frontPort)
+		err := l.attempt(ctx, entry, c, i == 0, route, w)
+		notRun, permanent := refused(err)
 		l.mu.Lock()
-		j.accepted = accepted
-		j.rejected = j.rejected && err != nil && pj.AsError(err).NotRun
+		j.accepted = err == nil
+		j.rejected = j.rejected && notRun
 		l.mu.Unlock()
-		if accepted {
-			break
+		switch {
+		case err == nil:
+			return entry, true
+		case permanent:
+			l.recordViolation("job %s was refused in attempt %d: %v", id, i+1, err)
+			return "", false
+		case notRun && c.heedsRefusal:
+			return "", false
 		}
 		time.Sleep(retryDelay)
 	}
-	if !accepted || !cancel {
-		return
-	}
+	return "", false
+}
+
+// cancel cancels an accepted job.
+func (l *load) cancel(ctx context.Context, id string) {
+	route, _ := newWork(id)
 	err := l.client.Cancel(ctx, l.randomAddress(entryRole, frontPort), route, apiKey, id)
 	unknown := err != nil && pj.AsError(err).Code == pj.CodeUnknownJob
 	l.mu.Lock()
-	j.cancelled = !unknown // after an error the job may have been cancelled
+	l.jobs[id].cancelled = !unknown // after an error the job may have been cancelled
 	l.mu.Unlock()
 	if unknown {
 		l.recordViolation("job %s was accepted, and cancelling it found no such job", id)
@@ -170,7 +208,9 @@
 		cancel := l.rand.IntN(cancelOneIn) == 0
 		earlier := jobID(1 + l.rand.IntN(n))
 		l.mu.Unlock()
-		l.submitters.Go(func() { l.submit(context.WithoutCancel(ctx), jobID(n), cancel) })
+		c := newCaller(l.seed, n)
+		c.cancels = cancel
+		l.submitters.Go(func() { l.submit(context.WithoutCancel(ctx), jobID(n), c) })
 		go l.checkState(context.WithoutCancel(ctx), earlier)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -136,7 +136,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	accepted, cancelled := 0, 0
+	accepted, cancelled, rejected := 0, 0, 0
 	for id, j := range l.jobs {
 		switch {
 		case j.accepted && j.cancelled:
@@ -146,11 +146,15 @@
 			if j.state == pj.WorkflowCancelled || j.state == pj.WorkflowFailed {
 				l.violations = append(l.violations, fmt.Sprintf("job %s is %s without having been cancelled", id, j.state))
 			}
-		case j.rejected && l.started[id]:
-			l.violations = append(l.violations, fmt.Sprintf("job %s was rejected by every response, and a worker started it", id))
+		case j.rejected:
+			rejected++
+			if l.started[id] {
+				l.violations = append(l.violations, fmt.Sprintf("job %s was rejected by every response, and a worker started it", id))
+			}
 		}
 	}
-	_, _ = fmt.Fprintf(out, "jobs=%d accepted=%d cancelled=%d blocked=%d tasks=%d config=%d\n", len(l.jobs), accepted, cancelled, l.blocked, l.fleet.FinishedTasks(), l.published)
+	_, _ = fmt.Fprintf(out, "jobs=%d accepted=%d cancelled=%d rejected=%d repeated=%d repeated_refused=%d replaced=%d blocked=%d tasks=%d config=%d\n", len(l.jobs), accepted, cancelled, rejected,
+		l.repeated, l.repeatedRefused, l.replaced, l.blocked, l.fleet.FinishedTasks(), l.published)
 }
 
 // unfinishedJobs reads the state of the accepted jobs and returns those without a final state.
