--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -1,8 +1,7 @@
 package runs
 
 import (
-	"reflect"
-	"slices"
+	"fmt"
 
 	pj "papayajunction"
 	"papayajunction/internal/control/workflow"
@@ -11,7 +10,7 @@
 // Submit commits a workflow and then calls done. Submitting the same workflow again has no effect; another one under its id is refused.
 func (c *Controller) Submit(w pj.Workflow, done func(error)) {
 	if r := c.options.State.Record(w.ID); r != nil {
-		done(resubmitted(r, &w))
+		done(c.resubmitted(r, &w))
 		return
 	}
 	w.AcceptedAt = c.options.UnixMilli()
@@ -21,7 +20,7 @@
 			return
 		}
 		if !r.New {
-			done(resubmitted(r.Record, &w))
+			done(c.resubmitted(r.Record, &w))
 			return
 		}
 		if !c.closed {
@@ -34,21 +33,26 @@
 }
 
 // resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
-// name and policy may have changed, and its key may have been withdrawn.
-func resubmitted(r *workflow.Record, w *pj.Workflow) error {
-	recorded := &r.Workflow
-	sameOwner := recorded.Workspace == w.Workspace || recorded.Workspace == "" || w.Workspace == ""
-	if sameOwner && recorded.Spec == w.Spec && recorded.ScheduledOccurrences == w.ScheduledOccurrences && slices.EqualFunc(recorded.Steps, w.Steps, sameStep) {
-		return nil
+// name and policy may have changed, and its key may have been withdrawn. The error has NotRun only if it is certainly another one.
+func (c *Controller) resubmitted(r *workflow.Record, w *pj.Workflow) error {
+	fingerprint, err := w.Fingerprint()
+	if err != nil {
+		return fmt.Errorf("compare with the recorded workflow: %w", err)
 	}
-	return pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
-}
-
-// sameStep compares steps of which one was stored and read again: an empty list is then nil.
-func sameStep(a, b pj.Step) bool {
-	sameDependencies := slices.Equal(a.DependsOn, b.DependsOn)
-	a.DependsOn, b.DependsOn = nil, nil
-	return sameDependencies && reflect.DeepEqual(a, b)
+	sameOwner := r.Workflow.Workspace == w.Workspace || r.Workflow.Workspace == "" || w.Workspace == ""
+	differs := ""
+	switch {
+	case r.Fingerprint == "":
+		differs, err = "unknown", pj.Fail(pj.CodeConflict, "the id %s belongs to a workflow that has ended and can't be compared", w.ID)
+	case r.Fingerprint != fingerprint:
+		differs, err = "definition", pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
+	case !sameOwner:
+		// The key may have moved to another workspace since the first submission.
+		differs, err = "workspace", pj.Fail(pj.CodeConflict, "the id %s belongs to a workflow of another workspace", w.ID)
+	}
+	c.options.Events.Record("workflow_resubmitted", "workflow", w.ID, "state", r.State(), "live", r.LiveRuns(), "differs", differs,
+		"workspace", w.Workspace, "recorded_workspace", r.Workflow.Workspace)
+	return err
 }
 
 func (c *Controller) enqueueSubmitted(r *workflow.Record) {
