Fingerprints: times without a schedule don't make another workflow; NotRun speaks of one attempt

A start time and an interval have no effect without a schedule; a caller that computes them anew for a repetition was refused since. NotRun had two definitions, 'never' and 'because of this attempt'.

--- a/errors.go
+++ b/errors.go
@@ -37,8 +37,8 @@
 
 // Error is the form in which callers, workers, endpoints and operators receive every error.
 //
-// NotRun is true only if the work has certainly not started and will not start because of the attempt that is answered. Who repeats an
-// attempt of unknown outcome combines the answers with ClearNotRun.
+// NotRun is true only if the attempt that is answered has certainly had no effect and will have none. An earlier attempt may have: who repeats
+// one of unknown outcome combines the answers with ClearNotRun.
 type Error struct {
 	Code       Code         `json:"code"`
 	NotRun     bool         `json:"not_run"`
@@ -61,12 +61,12 @@
 	return fmt.Sprintf("%s:%d: %s: %s", i.File, i.Line, i.Field, i.Message)
 }
 
-// Refuse returns an error for work that has certainly not started and will not start.
+// Refuse returns an error with NotRun, for an attempt that certainly has no effect.
 func Refuse(code Code, format string, args ...any) *Error {
 	return &Error{Code: code, NotRun: true, Message: fmt.Sprintf(format, args...)}
 }
 
-// Fail returns an error for work that may have run or may still run.
+// Fail returns an error without NotRun, for an attempt whose work may have run or may still run.
 func Fail(code Code, format string, args ...any) *Error {
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
 }
--- a/workflow.go
+++ b/workflow.go
@@ -79,13 +79,17 @@
 // Fingerprint returns a hash of what the submitter asked for: the specification, the steps and the schedule. What the queue's policy and the
 // time of acceptance add is left out, so that a workflow has the same fingerprint whenever it is submitted.
 func (w *Workflow) Fingerprint() (string, error) {
-	hash, err := fingerprint(struct {
+	content := struct {
 		Spec                 string `json:"spec"`
 		Steps                []Step `json:"steps"`
 		ScheduledOccurrences int    `json:"times"`
 		StartAtMS            int64  `json:"start_at_ms"`
 		IntervalMS           int64  `json:"interval_ms"`
-	}{w.Spec, w.Steps, w.ScheduledOccurrences, w.StartAtMS, w.IntervalMS})
+	}{Spec: w.Spec, Steps: w.Steps}
+	if w.ScheduledOccurrences > 0 { // else the times have no effect
+		content.ScheduledOccurrences, content.StartAtMS, content.IntervalMS = w.ScheduledOccurrences, w.StartAtMS, w.IntervalMS
+	}
+	hash, err := fingerprint(content)
 	if err != nil {
 		return "", fmt.Errorf("workflow %s: %w", w.ID, err)
 	}
