Leader client: an attempt that doesn't say "not run" may have run, whatever its code

Seen: found by reading; no call is known that answers not_leader or no_quorum without "not run" today.

Cause: only lost answers and outcome_unknown counted as attempts that may have had an effect. After a not_leader or no_quorum of unknown outcome, a later refusal was passed on as "not run".

Test: TestOutcome, "no quorum, may have run, refused" and "not leader, may have run, time over"; on the code before: client_test.go:62: true != false for both.

--- a/internal/server/leaderclient/client.go
+++ b/internal/server/leaderclient/client.go
@@ -186,11 +186,9 @@
 		a.maybeExecuted = true
 		return stale
 	}
+	a.maybeExecuted = a.maybeExecuted || !e.NotRun
 	switch e.Code {
-	case pj.CodeOutcomeUnknown:
-		a.maybeExecuted = true
-		return stale
-	case pj.CodeNotLeader, pj.CodeNoQuorum:
+	case pj.CodeOutcomeUnknown, pj.CodeNotLeader, pj.CodeNoQuorum:
 		return stale
 	default:
 		return true
--- a/internal/server/leaderclient/client_test.go
+++ b/internal/server/leaderclient/client_test.go
@@ -34,6 +34,8 @@
 		"lost, then refused":                  {errs: []error{lost, pj.Refuse(pj.CodeOverloaded, "full")}},
 		"lost, then out of date":              {errs: []error{lost, pj.Refuse(pj.CodeNoQuorum, "none")}},
 		"outcome unknown, then not leader":    {errs: []error{pj.Fail(pj.CodeOutcomeUnknown, "lost"), pj.Refuse(pj.CodeNotLeader, "other")}},
+		"no quorum, may have run, refused":    {errs: []error{pj.Fail(pj.CodeNoQuorum, "lost"), pj.Refuse(pj.CodeOverloaded, "full")}},
+		"not leader, may have run, time over": {errs: []error{pj.Fail(pj.CodeNotLeader, "lost"), pj.Refuse(pj.CodeNotLeader, "other")}},
 		"no leader until the time is over":    {errs: []error{pj.Refuse(pj.CodeNotLeader, "other")}, notRun: true},
 		"no response until the time is over":  {errs: []error{lost}},
 		"not leader, out of date at once":     {errs: []error{pj.Refuse(pj.CodeNotLeader, "other")}, staleAfter: time.Millisecond, notRun: true},
