Dispatch: the rejection of another request isn't taken for that of this one

Seen: found by reading. If an endpoint's connection delivers the rejection of another request, a request that ran was reported as "not run", or was run a second time although its queue isn't repeatable.

Cause: X-Not-Run was read before the id that the response echoes was compared.

Change: a rejection that echoes another id is a response to another request (bad_answer, unknown outcome). One without an id counts as before.

Test: TestInvariantNotRunIsAccurate and TestInvariantAtMostOnce, "rejection of another request"; on the code before: dispatch_test.go:256: true != false, dispatch_test.go:270: not true: r.runs <= 1.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -163,7 +163,7 @@
 		return d.stream(x, g, response)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.maxResponseBytes+1))
-	if response.Header.Get(HeaderNotRun) == "true" && err == nil {
+	if err == nil && isRejection(x, response) {
 		return pj.Refuse(pj.CodeNoEndpoint, "endpoint %s rejected the request without running it", g.Endpoint)
 	}
 	x.Sent = true
@@ -173,6 +173,13 @@
 	return d.accept(x, g, response, body)
 }
 
+// isRejection reports whether the endpoint rejected this request without running it. A rejection needn't echo the
+// request's id, but one with another id is the response to another request.
+func isRejection(x *pj.Exchange, response *http.Response) bool {
+	id := response.Header.Get(HeaderRequestID)
+	return response.Header.Get(HeaderNotRun) == "true" && (id == "" || id == x.RequestID)
+}
+
 // canStream reports whether the caller accepts a stream and the response is large, of known and allowed
 // length, no server error, and belongs to this request.
 func (d *Dispatcher) canStream(x *pj.Exchange, response *http.Response) bool {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -126,6 +126,19 @@
 	panic(http.ErrAbortHandler)
 }
 
+// runAndRejectAnother runs the request and responds with the rejection of another request.
+func (e *endpoint) runAndRejectAnother(w http.ResponseWriter, _ *http.Request) {
+	e.countRun()
+	w.Header().Set(dispatch.HeaderRequestID, "another")
+	w.Header().Set(dispatch.HeaderNotRun, "true")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (e *endpoint) rejectWithID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(dispatch.HeaderRequestID, r.Header.Get(dispatch.HeaderRequestID))
+	e.reject(w, r)
+}
+
 func (e *endpoint) reject(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(dispatch.HeaderNotRun, "true")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -211,6 +224,8 @@
 	"endpoint unreachable, then reachable":     {handlers: always(success), unreachable: 1},
 	"lost response, then no free slot":         {handlers: then(responseLost, rejected), repeatable: true},
 	"grant expired":                            {handlers: always(success), grantExpired: true},
+	"rejection of another request":             {handlers: always(func(e *endpoint) http.HandlerFunc { return e.runAndRejectAnother })},
+	"no free slot, with the request's id":      {handlers: always(func(e *endpoint) http.HandlerFunc { return e.rejectWithID })},
 	"leader refuses to grant":                  {handlers: always(success), grantErr: pj.Refuse(pj.CodeOverloaded, "full")},
 }
 
