Dispatch: a request whose grant was lost is answered as not run

Seen: found by reading. When the answer to the call for a grant was lost and a later attempt refused it, the caller got the refusal without "not run", although the request was never sent to an endpoint: with a status that leaves the outcome open, callers can't send a request again that isn't repeatable.

Cause: leaderclient rightly leaves open whether a slot was granted; dispatch passed that on as if it spoke of the request.

Change: an attempt without a grant is not run. The retry filter still clears this if an earlier attempt was sent.

Test: TestInvariantNotRunIsAccurate, "grant lost, then refused" and "grant lost"; on the code before: dispatch_test.go:256: false != true. "lost response, then no grant" and "lost response, then grant lost" pass before and after.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -77,7 +77,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, x *pj.Exchange) error {
 	zone, g, err := d.acquireGrant(ctx, x)
 	if err != nil {
-		return err
+		return notSent(err)
 	}
 	x.Waited += time.Duration(g.WaitedMS) * time.Millisecond
 	// Once a grant has expired, for example because this process was paused, the leader counts its
@@ -129,6 +129,14 @@
 	return "", pj.Grant{}, firstErr
 }
 
+// notSent returns the error of an attempt without a grant. Whatever became of the call for the grant, the request was not
+// sent to an endpoint.
+func notSent(err error) error {
+	e := *pj.AsError(err)
+	e.NotRun = true
+	return &e
+}
+
 // mayTryOtherZone reports whether another zone may still accept the request.
 func mayTryOtherZone(err error) bool {
 	switch pj.AsError(err).Code {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -48,6 +48,7 @@
 	addresses []string
 	expiresAt time.Duration
 	err       error
+	errAfter  int // number of grants before err
 	granted   int
 	released  int
 }
@@ -57,7 +58,7 @@
 
 // Grant implements dispatch.Granter.
 func (g *granter) Grant(context.Context, string, pj.GrantRequest) (pj.Grant, error) {
-	if g.err != nil {
+	if g.err != nil && g.granted >= g.errAfter {
 		return pj.Grant{}, g.err
 	}
 	address := g.addresses[min(g.granted, len(g.addresses)-1)]
@@ -158,6 +159,7 @@
 	unreachable  int // attempts that are granted an address without a listener
 	grantExpired bool
 	grantErr     error
+	grantsBefore int // number of grants before grantErr
 }
 
 func (s scenario) run(t *testing.T) result {
@@ -166,7 +168,7 @@
 	e.handlers = s.handlers(e)
 	server := httptest.NewServer(e)
 	defer server.Close()
-	g := &granter{expiresAt: 2 * time.Hour, err: s.grantErr}
+	g := &granter{expiresAt: 2 * time.Hour, err: s.grantErr, errAfter: s.grantsBefore}
 	if s.grantExpired {
 		g.expiresAt = time.Minute
 	}
@@ -226,6 +228,10 @@
 	"grant expired":                            {handlers: always(success), grantExpired: true},
 	"rejection of another request":             {handlers: always(func(e *endpoint) http.HandlerFunc { return e.runAndRejectAnother })},
 	"no free slot, with the request's id":      {handlers: always(func(e *endpoint) http.HandlerFunc { return e.rejectWithID })},
+	"grant lost, then refused":                 {handlers: always(success), grantErr: pj.Fail(pj.CodeOverloaded, "full")},
+	"grant lost":                               {handlers: always(success), grantErr: io.ErrUnexpectedEOF},
+	"lost response, then no grant":             {handlers: always(responseLost), repeatable: true, grantErr: pj.Refuse(pj.CodeOverloaded, "full"), grantsBefore: 1},
+	"lost response, then grant lost":           {handlers: always(responseLost), repeatable: true, grantErr: io.ErrUnexpectedEOF, grantsBefore: 1},
 	"leader refuses to grant":                  {handlers: always(success), grantErr: pj.Refuse(pj.CodeOverloaded, "full")},
 }
 
