--- a/internal/control/cell/state.go
+++ b/internal/control/cell/state.go
@@ -17,13 +17,14 @@
 
 // Command is a change of the state. The fields that are set are applied in the order declared here.
 type Command struct {
-	Submit *pj.Job           `json:"submit,omitempty"`
-	Cancel []string          `json:"cancel,omitempty"`
-	Start  []StartAttempt    `json:"start,omitempty"`
-	End    []EndAttempt      `json:"end,omitempty"`
-	Allot  []AllotmentCommit `json:"allot,omitempty"`
-	Delete []string          `json:"forget,omitempty"`
-	Drain  *pj.Drain         `json:"drain,omitempty"`
+	Submit      *pj.Job           `json:"submit,omitempty"`
+	Cancel      []string          `json:"cancel,omitempty"`
+	CancelledAt int64             `json:"cancelled_at,omitempty"` // Unix time in milliseconds
+	Start       []StartAttempt    `json:"start,omitempty"`
+	End         []EndAttempt      `json:"end,omitempty"`
+	Allot       []AllotmentCommit `json:"allot,omitempty"`
+	Delete      []string          `json:"forget,omitempty"`
+	Drain       *pj.Drain         `json:"drain,omitempty"`
 }
 
 // StartAttempt records that a task is to run on a worker. It is committed before the attempt is sent to the worker.
@@ -94,6 +95,11 @@
 	Err    *pj.Error
 }
 
+// CancelResult is the result of Apply for a cancellation.
+type CancelResult struct {
+	Ended bool // the cancellation ended the job, because none of its attempts was live
+}
+
 // State is the replicated state of a cell.
 type State struct {
 	index          uint64
@@ -158,8 +164,8 @@
 	return s.reserved[workspace]
 }
 
-// Apply applies one command. It returns a SubmitResult for a submission and, for starts, a []bool of which were
-// accepted.
+// Apply applies one command. It returns a SubmitResult for a submission, a CancelResult for the last cancellation and, for
+// starts, a []bool of which were accepted.
 func (s *State) Apply(index uint64, data []byte) any {
 	s.index = index
 	var c Command
@@ -171,7 +177,7 @@
 		result = s.submit(*c.Submit)
 	}
 	for _, id := range c.Cancel {
-		s.cancel(id)
+		result = CancelResult{Ended: s.cancel(id, c.CancelledAt)}
 	}
 	if c.Start != nil {
 		result = s.startAttempts(c.Start)
@@ -202,12 +208,17 @@
 	return SubmitResult{Record: r, New: true}
 }
 
-func (s *State) cancel(id string) {
+// cancel cancels a job and reports whether that ended it; otherwise it had ended, or ends with its live attempts.
+func (s *State) cancel(id string, now int64) (ended bool) {
 	r := s.jobs[id]
 	if r == nil || r.Ended() {
-		return
+		return false
 	}
 	r.Cancelled = true
+	if r.Ended() {
+		r.EndedAt = now
+	}
+	return r.Ended()
 }
 
 // startAttempts records attempts and returns which were accepted. An attempt is refused if the job was
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -117,6 +118,11 @@
 	return c
 }
 
+// endedAt returns when an ended job ended. Earlier versions didn't record it for a job that was cancelled while it waited.
+func endedAt(r *cell.Record) int64 {
+	return cmp.Or(r.EndedAt, r.Job.SubmittedAt)
+}
+
 func (c *Coordinator) adoptJob(now time.Duration, r *cell.Record) {
 	if r.Ended() {
 		c.endedJobs = append(c.endedJobs, r.Job.ID)
@@ -308,7 +314,7 @@
 	for _, id := range c.endedJobs {
 		r := c.options.State.Job(id)
 		tooMany := len(c.endedJobs)-len(expired) > maxEndedJobs
-		if r != nil && r.EndedAt > cutoff && !tooMany {
+		if r != nil && endedAt(r) > cutoff && !tooMany {
 			break
 		}
 		expired = append(expired, id)
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -105,11 +105,14 @@
 		done(pj.JobStatus{}, unknownJobError(id))
 		return
 	}
-	c.commit(cell.Command{Cancel: []string{id}}, func(result pj.CommitResult) {
+	c.commit(cell.Command{Cancel: []string{id}, CancelledAt: c.options.UnixMilli()}, func(result pj.CommitResult) {
 		if result.Err != nil {
 			done(pj.JobStatus{}, result.Err)
 			return
 		}
+		if cancelled, ok := result.Value.(cell.CancelResult); ok && cancelled.Ended {
+			c.endedJobs = append(c.endedJobs, id)
+		}
 		if !c.closed && r.Cancelled {
 			c.scheduler.Cancel(id)
 			c.stopLiveAttempts(r)
--- a/internal/control/coordinator/jobs_test.go
+++ b/internal/control/coordinator/jobs_test.go
@@ -116,3 +116,52 @@
 		})
 	}
 }
+
+// TestEndedJobIsRemembered guards against running a job again because its record was removed before the retention time
+// was over, and against keeping it forever.
+func TestEndedJobIsRemembered(t *testing.T) {
+	tests := map[string]struct {
+		cancel       bool // while the job is queued; otherwise it finishes
+		leaderChange bool
+		later        time.Duration
+		remembered   bool
+	}{
+		"finished":                              {later: 23 * time.Hour, remembered: true},
+		"finished, leader changed":              {leaderChange: true, later: 23 * time.Hour, remembered: true},
+		"finished, retention over":              {later: 25 * time.Hour},
+		"cancelled":                             {cancel: true, later: 23 * time.Hour, remembered: true},
+		"cancelled, leader changed":             {cancel: true, leaderChange: true, later: 23 * time.Hour, remembered: true},
+		"cancelled, retention over":             {cancel: true, later: 25 * time.Hour},
+		"cancelled, retention over, new leader": {cancel: true, leaderChange: true, later: 25 * time.Hour},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(1)
+			b.now = 48 * time.Hour // so that the retention time doesn't reach back beyond 0
+			b.elect()
+			b.run(30 * time.Second)
+			b.submit(pj.Job{ID: "z.full", Workspace: "a", Task: b.capacity})
+			job := pj.Job{ID: "z.b", Workspace: "a", Fingerprint: "f"}
+			b.submit(job)
+			is.Equal(b.statuses[job.ID].State, pj.JobQueued)
+			state := pj.JobFinished
+			if test.cancel {
+				state = pj.JobCancelled
+				b.leader.Cancel(job.ID, "a", func(_ pj.JobStatus, err error) { is.NoErr(err) })
+				b.leader.Cancel(job.ID, "a", func(_ pj.JobStatus, err error) { is.NoErr(err) })
+				b.commit()
+			}
+			b.run(time.Minute)
+			is.Equal(b.status(job.ID).State, state)
+			if test.leaderChange {
+				b.elect()
+			}
+			b.now += test.later
+			b.run(time.Minute)
+			is.Equal(b.state.Job(job.ID) != nil, test.remembered)
+			b.submit(job)
+			is.Equal(b.statuses[job.ID].State == state, test.remembered) // it isn't run again
+		})
+	}
+}
