Coordinator: a new leader removes the jobs that ended first, not those submitted first

Seen: found by reading. Beyond 20,000 ended jobs, a new leader removed records in the order of submission: a job that had just ended after a long time was forgotten at once, and a repetition of its submission would run it again.

Cause: a new leader lists the ended jobs as the state visits jobs, by submission; the list is meant to be sorted by end.

Test: TestOldestEndedJobsAreRemoved, on the code before: jobs_test.go:199: not true: b.state.Job(id(0)) != nil.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	pj "papayajunction"
@@ -115,6 +116,9 @@
 	)
 	c.refreshWorkspaces()
 	c.options.State.Jobs(func(r *cell.Record) { c.adoptJob(now, r) })
+	slices.SortStableFunc(c.endedJobs, func(a, b string) int {
+		return cmp.Compare(endedAt(options.State.Job(a)), endedAt(options.State.Job(b)))
+	})
 	return c
 }
 
--- a/internal/control/coordinator/jobs_test.go
+++ b/internal/control/coordinator/jobs_test.go
@@ -1,12 +1,15 @@
 package coordinator_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/cell"
 )
 
 // oddGroup commits commands with a result of another type.
@@ -165,3 +168,35 @@
 		})
 	}
 }
+
+// TestOldestEndedJobsAreRemoved guards against removing, beyond the maximum number of ended jobs, one that has just
+// ended because it was submitted first.
+func TestOldestEndedJobsAreRemoved(t *testing.T) {
+	const maxEndedJobs = 20000
+	is := is.New(t)
+	b := newTestbed(1)
+	b.now = time.Hour
+	apply := func(c cell.Command) {
+		data, err := json.Marshal(c)
+		is.NoErr(err)
+		b.index++
+		b.state.Apply(b.index, data)
+	}
+	id := func(n int) string { return fmt.Sprint("z.job", n) }
+	for n := range maxEndedJobs + 10 {
+		apply(cell.Command{
+			Submit: &pj.Job{ID: id(n), Workspace: "a", Tasks: 1, MaxAttempts: 1, SubmittedAt: int64(n)},
+			Start:  []cell.StartAttempt{{Attempt: pj.AttemptID{Job: id(n), Number: 1}, Worker: "w"}},
+		})
+	}
+	for n := maxEndedJobs + 9; n >= 0; n-- { // the job that was submitted first ends last
+		apply(cell.Command{End: []cell.EndAttempt{{
+			Attempt: pj.AttemptID{Job: id(n), Number: 1}, Phase: pj.PhaseFinished, EndedAt: b.now.Milliseconds() - int64(n),
+		}}})
+	}
+	b.elect()
+	b.run(time.Minute)
+	is.True(b.state.Job(id(0)) != nil)
+	is.True(b.state.Job(id(maxEndedJobs-1)) != nil)
+	is.True(b.state.Job(id(maxEndedJobs)) == nil)
+}
