--- a/internal/client/command/callers.go
+++ b/internal/client/command/callers.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -60,8 +61,8 @@
 					return err
 				}
 				_, _ = fmt.Fprintf(a.out, "%s\n", response.Body)
-				if response.Status >= 400 {
-					return fmt.Errorf("the endpoint responded with status %d", response.Status)
+				if response.Status >= http.StatusBadRequest {
+					return fmt.Errorf("%w: %d", errErrorStatus, response.Status)
 				}
 				return nil
 			})
--- a/internal/client/command/command_test.go
+++ b/internal/client/command/command_test.go
@@ -125,3 +125,27 @@
 		})
 	}
 }
+
+// TestRequestCount guards against counting a response with an error status, of an endpoint or of a proxy, as a success.
+func TestRequestCount(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		code   int
+	}{
+		"success":        {status: http.StatusOK, code: command.ExitOK},
+		"error status":   {status: http.StatusServiceUnavailable, code: command.ExitFailed},
+		"client's error": {status: http.StatusNotFound, code: command.ExitFailed},
+	}
+	for name, test := range tests {
+		for _, count := range []string{"1", "3"} {
+			t.Run(name+" "+count, func(t *testing.T) {
+				is := is.New(t)
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) }))
+				defer server.Close()
+				var out, errOut bytes.Buffer
+				args := []string{"request", "--entry", strings.TrimPrefix(server.URL, "http://"), "--count", count, "q"}
+				is.Equal(command.New(&out, &errOut).Run(t.Context(), args), test.code)
+			})
+		}
+	}
+}
--- a/internal/client/command/loadtest.go
+++ b/internal/client/command/loadtest.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -52,7 +53,10 @@
 	fs.DurationVar(&l.interval, "pace", 0, "with --count, interval between two starts; 0 for as fast as possible")
 }
 
-var errWrongResponse = errors.New("the answer belongs to another request")
+var (
+	errWrongResponse = errors.New("the answer belongs to another request")
+	errErrorStatus   = errors.New("the endpoint responded with an error status")
+)
 
 // run sends everything and prints the summary; it fails unless everything succeeded.
 func (l *loadTest) run(ctx context.Context) error {
@@ -115,6 +119,8 @@
 		}
 	case errors.Is(err, errWrongResponse):
 		code = "wrong answer"
+	case errors.Is(err, errErrorStatus):
+		code = "error status"
 	case errors.Is(err, errJobFailed):
 		code = "job failed"
 	}
@@ -158,6 +164,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Status >= http.StatusBadRequest {
+		return fmt.Errorf("%w: %d", errErrorStatus, response.Status)
+	}
 	var parsed struct {
 		Request string `json:"request"`
 		Echo    string `json:"echo"`
