--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -77,7 +77,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, x *pj.Exchange) error {
 	zone, g, err := d.acquireGrant(ctx, x)
 	if err != nil {
-		return err
+		return notSent(err)
 	}
 	x.Waited += time.Duration(g.WaitedMS) * time.Millisecond
 	// Once a grant has expired, for example because this process was paused, the leader counts its
@@ -129,6 +129,14 @@
 	return "", pj.Grant{}, firstErr
 }
 
+// notSent returns the error of an attempt without a grant. Whatever became of the call for the grant, the request was not
+// sent to an endpoint.
+func notSent(err error) error {
+	e := *pj.AsError(err)
+	e.NotRun = true
+	return &e
+}
+
 // mayTryOtherZone reports whether another zone may still accept the request.
 func mayTryOtherZone(err error) bool {
 	switch pj.AsError(err).Code {
@@ -163,7 +171,7 @@
 		return d.stream(x, g, response)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.maxResponseBytes+1))
-	if response.Header.Get(HeaderNotRun) == "true" && err == nil {
+	if err == nil && isRejection(x, response) {
 		return pj.Refuse(pj.CodeNoEndpoint, "endpoint %s rejected the request without running it", g.Endpoint)
 	}
 	x.Sent = true
@@ -173,6 +181,13 @@
 	return d.accept(x, g, response, body)
 }
 
+// isRejection reports whether the endpoint rejected this request without running it. A rejection needn't echo the
+// request's id, but one with another id is the response to another request.
+func isRejection(x *pj.Exchange, response *http.Response) bool {
+	id := response.Header.Get(HeaderRequestID)
+	return response.Header.Get(HeaderNotRun) == "true" && (id == "" || id == x.RequestID)
+}
+
 // canStream reports whether the caller accepts a stream and the response is large, of known and allowed
 // length, no server error, and belongs to this request.
 func (d *Dispatcher) canStream(x *pj.Exchange, response *http.Response) bool {
