Soak: a run in which nothing was accepted is a violation

A run of `scripts/soak 16s 104` on a busy machine (load average 30) ended with accepted=0 config=0 tasks=0 and broken=0: no check had anything to look at, and its folder was removed.

Change: a run without an acknowledged ruleset or without an accepted job is a violation, as the plan leaves a quorum of replicas. TestUseCheck covers it.

--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -138,6 +138,28 @@
 	}
 }
 
+// TestUseCheck: a run in which the cell accepted no ruleset or no job is a violation.
+func TestUseCheck(t *testing.T) {
+	tests := map[string]struct {
+		published int64
+		jobs      map[string]*job
+		violation bool
+	}{
+		"in use":              {published: 1, jobs: map[string]*job{"1": {}, "2": {accepted: true}}},
+		"no ruleset":          {jobs: map[string]*job{"1": {accepted: true}}, violation: true},
+		"no job":              {published: 1, violation: true},
+		"no job was accepted": {published: 1, jobs: map[string]*job{"1": {rejected: true}}, violation: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLoad(1, Sizes["small"], nil, nil)
+			l.published, l.jobs = tc.published, tc.jobs
+			l.checkUse()
+			is.New(t).Equal(len(l.violations) > 0, tc.violation)
+		})
+	}
+}
+
 // TestCallers: the behaviour of a caller depends on the seed and the number of its job only, and each kind of behaviour occurs.
 func TestCallers(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -77,6 +77,7 @@
 	faults.Wait()
 	<-submitting
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
+	l.checkUse()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Concat(l.violations, fleet.Violations()), nil
@@ -157,6 +158,17 @@
 		l.repeated, l.repeatedRefused, l.replaced, l.blocked, l.fleet.FinishedTasks(), l.published)
 }
 
+// checkUse records a violation if no ruleset or no job was accepted during the whole run: the plan leaves a quorum of replicas, and the other
+// checks have seen nothing.
+func (l *load) checkUse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	accepted := slices.ContainsFunc(slices.Collect(maps.Values(l.jobs)), func(j *job) bool { return j.accepted })
+	if l.published == 0 || !accepted {
+		l.violations = append(l.violations, fmt.Sprintf("nothing was accepted: latest ruleset %d, any job %t", l.published, accepted))
+	}
+}
+
 // unfinishedJobs reads the state of the accepted jobs and returns those without a final state.
 func (l *load) unfinishedJobs(ctx context.Context) (unfinished []string) {
 	l.mu.Lock()
