--- a/errors.go
+++ b/errors.go
@@ -37,7 +37,8 @@
 
 // Error is the form in which callers, workers, endpoints and operators receive every error.
 //
-// NotRun is true only if the work has certainly not started and will not start.
+// NotRun is true only if the attempt that is answered has certainly had no effect and will have none. An earlier attempt may have: who repeats
+// one of unknown outcome combines the answers with ClearNotRun.
 type Error struct {
 	Code       Code         `json:"code"`
 	NotRun     bool         `json:"not_run"`
@@ -60,12 +61,12 @@
 	return fmt.Sprintf("%s:%d: %s: %s", i.File, i.Line, i.Field, i.Message)
 }
 
-// Refuse returns an error for work that has certainly not started and will not start.
+// Refuse returns an error with NotRun, for an attempt that certainly has no effect.
 func Refuse(code Code, format string, args ...any) *Error {
 	return &Error{Code: code, NotRun: true, Message: fmt.Sprintf(format, args...)}
 }
 
-// Fail returns an error for work that may have run or may still run.
+// Fail returns an error without NotRun, for an attempt whose work may have run or may still run.
 func Fail(code Code, format string, args ...any) *Error {
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
 }
@@ -75,8 +76,18 @@
 	return string(e.Code) + ": " + e.Message
 }
 
-// HTTPStatus returns the HTTP status that goes with the code.
+// HTTPStatus returns the HTTP status of the error. A status that callers take for a refusal goes only with NotRun: without it, the status
+// is that of a lost response. CodeUnknownJob refuses no work and keeps its status.
 func (e *Error) HTTPStatus() int {
+	status := e.statusOfCode()
+	refuses := status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+	if refuses && !e.NotRun && e.Code != CodeUnknownJob {
+		return http.StatusGatewayTimeout
+	}
+	return status
+}
+
+func (e *Error) statusOfCode() int {
 	switch e.Code {
 	case CodeBadRequest, CodeNeverRuns:
 		return http.StatusBadRequest
--- a/internal/client/command/loadtest.go
+++ b/internal/client/command/loadtest.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -52,7 +53,10 @@
 	fs.DurationVar(&l.interval, "pace", 0, "with --count, interval between two starts; 0 for as fast as possible")
 }
 
-var errWrongResponse = errors.New("the answer belongs to another request")
+var (
+	errWrongResponse = errors.New("the answer belongs to another request")
+	errErrorStatus   = errors.New("the endpoint responded with an error status")
+)
 
 // run sends everything and prints the summary; it fails unless everything succeeded.
 func (l *loadTest) run(ctx context.Context) error {
@@ -115,6 +119,8 @@
 		}
 	case errors.Is(err, errWrongResponse):
 		code = "wrong answer"
+	case errors.Is(err, errErrorStatus):
+		code = "error status"
 	case errors.Is(err, errJobFailed):
 		code = "job failed"
 	}
@@ -158,6 +164,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Status >= http.StatusBadRequest {
+		return fmt.Errorf("%w: %d", errErrorStatus, response.Status)
+	}
 	var parsed struct {
 		Request string `json:"request"`
 		Echo    string `json:"echo"`
@@ -173,13 +182,18 @@
 const jobRetryTimeout = 40 * time.Second
 
 // retryTransient retries an idempotent call, as callers are expected to, while the outcome is unknown,
-// there is no quorum or the error is internal.
+// there is no quorum or the error is internal. The error has NotRun only if no attempt can have had an effect.
 func retryTransient(ctx context.Context, call func() error) error {
+	mayHaveRun := false
 	for {
 		err := call()
 		if err == nil {
 			return nil
 		}
+		if mayHaveRun {
+			err = pj.ClearNotRun(err)
+		}
+		mayHaveRun = mayHaveRun || !pj.AsError(err).NotRun
 		code := pj.AsError(err).Code
 		if code != pj.CodeOutcomeUnknown && code != pj.CodeNoQuorum && code != pj.CodeInternal {
 			return err
@@ -210,7 +224,7 @@
 			return err
 		})
 		if err != nil {
-			return fmt.Errorf("job %s: %w", id, err)
+			return fmt.Errorf("job %s: %w", id, pj.ClearNotRun(err)) // the job is accepted
 		}
 		if st.State.Final() && st.State != pj.JobFinished {
 			return fmt.Errorf("%w: %s %s: %s", errJobFailed, id, st.State, st.Reason)
--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -6,14 +6,17 @@
 package coordinator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	pj "papayajunction"
 	"papayajunction/internal/control/cell"
 	"papayajunction/internal/control/estimate"
 	"papayajunction/internal/control/fairness"
+	"papayajunction/internal/control/inflight"
 	"papayajunction/internal/control/quarantine"
 	"papayajunction/internal/control/scheduler"
 	"papayajunction/internal/control/slots"
@@ -70,7 +73,8 @@
 
 	workers           map[string]*workerView
 	attempts          map[pj.AttemptID]*attemptView
-	waiters           map[string][]*jobWaiter     // by job id
+	waiters           map[string][]*jobWaiter // by job id
+	submissions       inflight.Submissions
 	pendingAllotments map[string]pj.Allotment     // by workspace: allotments whose commit is in flight
 	overAllotments    map[string]int              // by workspace: number of consecutive allotments below its current usage
 	temporaryLimits   map[string]temporaryLimit   // by workspace, while its tasks are being preempted
@@ -112,9 +116,17 @@
 	)
 	c.refreshWorkspaces()
 	c.options.State.Jobs(func(r *cell.Record) { c.adoptJob(now, r) })
+	slices.SortStableFunc(c.endedJobs, func(a, b string) int {
+		return cmp.Compare(endedAt(options.State.Job(a)), endedAt(options.State.Job(b)))
+	})
 	return c
 }
 
+// endedAt returns when an ended job ended. Earlier versions didn't record it for a job that was cancelled while it waited.
+func endedAt(r *cell.Record) int64 {
+	return cmp.Or(r.EndedAt, r.Job.SubmittedAt)
+}
+
 func (c *Coordinator) adoptJob(now time.Duration, r *cell.Record) {
 	if r.Ended() {
 		c.endedJobs = append(c.endedJobs, r.Job.ID)
@@ -306,7 +318,7 @@
 	for _, id := range c.endedJobs {
 		r := c.options.State.Job(id)
 		tooMany := len(c.endedJobs)-len(expired) > maxEndedJobs
-		if r != nil && r.EndedAt > cutoff && !tooMany {
+		if r != nil && endedAt(r) > cutoff && !tooMany {
 			break
 		}
 		expired = append(expired, id)
--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -13,16 +13,23 @@
 	reply func(pj.JobStatus, error)
 }
 
-// Submit commits a job to the replicated state and calls done with its status.
+// Submit commits a job to the replicated state and calls done with its status. The checks for new jobs don't apply to a
+// job that is already known or is being committed.
 func (c *Coordinator) Submit(job pj.Job, done func(pj.JobStatus, error)) {
-	if existing := c.options.State.Job(job.ID); existing == nil {
+	resubmit := func() { c.Submit(job, done) }
+	if c.submissions.Await(job.ID, then(resubmit, done)) {
+		return
+	}
+	if c.options.State.Job(job.ID) == nil {
 		if err := c.checkAdmission(job); err != nil {
 			done(pj.JobStatus{}, err)
 			return
 		}
 	}
 	job.SubmittedAt = c.options.UnixMilli()
+	c.submissions.Begin(job.ID)
 	c.commit(cell.Command{Submit: &job}, func(r pj.CommitResult) {
+		defer c.submissions.End(job.ID, r.Err)
 		if r.Err != nil {
 			done(pj.JobStatus{}, r.Err)
 			return
@@ -46,6 +53,35 @@
 	})
 }
 
+// Repeated replies with the status of the job that an earlier attempt of the same submission created. Of job, only the
+// fields that the caller has set and the workspace are needed. An error with NotRun says that no attempt was accepted.
+func (c *Coordinator) Repeated(job pj.Job, reply func(pj.JobStatus, error)) {
+	r := c.options.State.Job(job.ID)
+	switch {
+	case c.submissions.Contains(job.ID):
+		reply(pj.JobStatus{}, beingCommittedError(job.ID))
+	case r == nil:
+		reply(pj.JobStatus{}, unknownJobError(job.ID))
+	default:
+		if err := r.CheckRepetition(&job); err != nil {
+			reply(pj.JobStatus{}, err)
+			return
+		}
+		reply(c.jobStatus(r), nil)
+	}
+}
+
+// then returns a function that goes on with next unless the submission that was waited for failed; its outcome is then unknown to done, too.
+func then(next func(), done func(pj.JobStatus, error)) func(error) {
+	return func(err error) {
+		if err != nil {
+			done(pj.JobStatus{}, pj.ClearNotRun(err))
+			return
+		}
+		next()
+	}
+}
+
 // checkAdmission returns the error with which a new job is rejected, or nil if it is admitted.
 func (c *Coordinator) checkAdmission(job pj.Job) *pj.Error {
 	// Until every worker has had time to report to a new leader, the cell's capacity is incomplete and
@@ -71,16 +107,22 @@
 
 // Cancel cancels a job and stops its running tasks.
 func (c *Coordinator) Cancel(id, workspace string, done func(pj.JobStatus, error)) {
+	if c.submissions.Await(id, then(func() { c.Cancel(id, workspace, done) }, done)) {
+		return
+	}
 	r := c.options.State.Job(id)
 	if r == nil || (workspace != "" && r.Job.Workspace != workspace) {
 		done(pj.JobStatus{}, unknownJobError(id))
 		return
 	}
-	c.commit(cell.Command{Cancel: []string{id}}, func(result pj.CommitResult) {
+	c.commit(cell.Command{Cancel: []string{id}, CancelledAt: c.options.UnixMilli()}, func(result pj.CommitResult) {
 		if result.Err != nil {
 			done(pj.JobStatus{}, result.Err)
 			return
 		}
+		if cancelled, ok := result.Value.(cell.CancelResult); ok && cancelled.Ended {
+			c.endedJobs = append(c.endedJobs, id)
+		}
 		if !c.closed && r.Cancelled {
 			c.scheduler.Cancel(id)
 			c.stopLiveAttempts(r)
@@ -90,6 +132,11 @@
 	})
 }
 
+// beingCommittedError is for queries while it isn't known whether there is a job.
+func beingCommittedError(id string) *pj.Error {
+	return pj.Fail(pj.CodeOutcomeUnknown, "the submission of job %s is being committed", id)
+}
+
 func unknownJobError(id string) *pj.Error {
 	return pj.Refuse(pj.CodeUnknownJob, "unknown job %s", id)
 }
@@ -97,6 +144,10 @@
 // Status replies with a job's status: at once if the job has ended or wait is 0, otherwise when it
 // ends or wait has elapsed.
 func (c *Coordinator) Status(id, workspace string, wait time.Duration, reply func(pj.JobStatus, error)) {
+	if c.submissions.Contains(id) {
+		reply(pj.JobStatus{}, beingCommittedError(id))
+		return
+	}
 	r := c.options.State.Job(id)
 	if r == nil || (workspace != "" && r.Job.Workspace != workspace) {
 		reply(pj.JobStatus{}, unknownJobError(id))
--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -1,8 +1,7 @@
 package runs
 
 import (
-	"reflect"
-	"slices"
+	"fmt"
 
 	pj "papayajunction"
 	"papayajunction/internal/control/workflow"
@@ -11,17 +10,22 @@
 // Submit commits a workflow and then calls done. Submitting the same workflow again has no effect; another one under its id is refused.
 func (c *Controller) Submit(w pj.Workflow, done func(error)) {
 	if r := c.options.State.Record(w.ID); r != nil {
-		done(resubmitted(r, &w))
+		done(c.resubmitted(r, &w))
+		return
+	}
+	if c.submissions.Await(w.ID, then(func() { c.Submit(w, done) }, done)) {
 		return
 	}
 	w.AcceptedAt = c.options.UnixMilli()
+	c.submissions.Begin(w.ID)
 	c.commit(workflow.Command{Submit: &w}, func(r workflow.Result, err error) {
+		defer c.submissions.End(w.ID, err)
 		if err != nil {
 			done(err)
 			return
 		}
 		if !r.New {
-			done(resubmitted(r.Record, &w))
+			done(c.resubmitted(r.Record, &w))
 			return
 		}
 		if !c.closed {
@@ -33,22 +37,38 @@
 	})
 }
 
-// resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
-// name and policy may have changed, and its key may have been withdrawn.
-func resubmitted(r *workflow.Record, w *pj.Workflow) error {
-	recorded := &r.Workflow
-	sameOwner := recorded.Workspace == w.Workspace || recorded.Workspace == "" || w.Workspace == ""
-	if sameOwner && recorded.Spec == w.Spec && recorded.ScheduledOccurrences == w.ScheduledOccurrences && slices.EqualFunc(recorded.Steps, w.Steps, sameStep) {
-		return nil
+// then returns a function that goes on with next unless the submission that was waited for failed; its outcome is then unknown to done, too.
+func then(next func(), done func(error)) func(error) {
+	return func(err error) {
+		if err != nil {
+			done(pj.ClearNotRun(err))
+			return
+		}
+		next()
 	}
-	return pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
 }
 
-// sameStep compares steps of which one was stored and read again: an empty list is then nil.
-func sameStep(a, b pj.Step) bool {
-	sameDependencies := slices.Equal(a.DependsOn, b.DependsOn)
-	a.DependsOn, b.DependsOn = nil, nil
-	return sameDependencies && reflect.DeepEqual(a, b)
+// resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
+// name and policy may have changed, and its key may have been withdrawn. The error has NotRun only if it is certainly another one.
+func (c *Controller) resubmitted(r *workflow.Record, w *pj.Workflow) error {
+	fingerprint, err := w.Fingerprint()
+	if err != nil {
+		return fmt.Errorf("compare with the recorded workflow: %w", err)
+	}
+	sameOwner := r.Workflow.Workspace == w.Workspace || r.Workflow.Workspace == "" || w.Workspace == ""
+	differs := ""
+	switch {
+	case r.Fingerprint == "":
+		differs, err = "unknown", pj.Fail(pj.CodeConflict, "the id %s belongs to a workflow that has ended and can't be compared", w.ID)
+	case r.Fingerprint != fingerprint:
+		differs, err = "definition", pj.Refuse(pj.CodeConflict, "the id %s belongs to another workflow", w.ID)
+	case !sameOwner:
+		// The key may have moved to another workspace since the first submission.
+		differs, err = "workspace", pj.Fail(pj.CodeConflict, "the id %s belongs to a workflow of another workspace", w.ID)
+	}
+	c.options.Events.Record("workflow_resubmitted", "workflow", w.ID, "state", r.State(), "live", r.LiveRuns(), "differs", differs,
+		"workspace", w.Workspace, "recorded_workspace", r.Workflow.Workspace)
+	return err
 }
 
 func (c *Controller) enqueueSubmitted(r *workflow.Record) {
@@ -62,9 +82,12 @@
 }
 
 // Cancel cancels a workflow and calls done once that is committed.
-func (c *Controller) Cancel(id, workspace string, done func(error)) {
+func (c *Controller) Cancel(id string, reach pj.Reach, done func(error)) {
+	if c.submissions.Await(id, then(func() { c.Cancel(id, reach, done) }, done)) {
+		return
+	}
 	r := c.options.State.Record(id)
-	if r == nil || (workspace != "" && r.Workflow.Workspace != workspace) {
+	if r == nil || !reach.Includes(&r.Workflow) {
 		done(pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known", id))
 		return
 	}
@@ -82,10 +105,13 @@
 	})
 }
 
-// Status returns the state of a workflow.
-func (c *Controller) Status(id, workspace string) (pj.WorkflowState, error) {
+// Status returns the state of a workflow. While its submission is being committed, it is not known whether there is one.
+func (c *Controller) Status(id string, reach pj.Reach) (pj.WorkflowState, error) {
+	if c.submissions.Contains(id) {
+		return "", pj.Fail(pj.CodeOutcomeUnknown, "the submission of workflow %s is being committed", id)
+	}
 	r := c.options.State.Record(id)
-	if r == nil || (workspace != "" && r.Workflow.Workspace != workspace) {
+	if r == nil || !reach.Includes(&r.Workflow) {
 		return "", pj.Refuse(pj.CodeUnknownJob, "workflow %s is not known", id)
 	}
 	return r.State(), nil
--- a/job.go
+++ b/job.go
@@ -24,7 +24,8 @@
 	return s == JobFinished || s == JobFailed || s == JobCancelled
 }
 
-// Submission is the request with which a caller submits a job.
+// Submission is the request with which a caller submits a job. Fields added to it must be left out of its JSON form
+// when they are zero, so that fingerprints stay the same.
 type Submission struct {
 	Queue   string    `json:"queue"`
 	Tasks   int       `json:"tasks,omitempty"`
@@ -33,6 +34,16 @@
 	Payload string    `json:"payload,omitempty"`
 }
 
+// Fingerprint returns a hash by which a repetition of the submission is recognised. Unlike the job that is built from
+// the submission, it doesn't depend on the configuration of the queue.
+func (s Submission) Fingerprint() (string, error) {
+	hash, err := fingerprint(s)
+	if err != nil {
+		return "", fmt.Errorf("submission to queue %s: %w", s.Queue, err)
+	}
+	return hash, nil
+}
+
 // Job is a durable unit of work: one or more identical tasks, which run on workers.
 type Job struct {
 	ID          string    `json:"id"`
@@ -47,7 +58,8 @@
 	Payload     string    `json:"payload,omitempty"`
 	MaxAttempts int       `json:"max_attempts"`
 	MaxWaiting  int       `json:"max_waiting,omitempty"`
-	SubmittedAt int64     `json:"submitted_at"` // Unix time in milliseconds
+	SubmittedAt int64     `json:"submitted_at"`          // Unix time in milliseconds
+	Fingerprint string    `json:"fingerprint,omitempty"` // of the submission; empty if an earlier version accepted the job
 }
 
 // TaskStatus is one task of a job as callers see it.
--- a/workflow.go
+++ b/workflow.go
@@ -7,7 +7,8 @@
 	"strings"
 )
 
-// Step is one stage of a workflow: a number of identical tasks.
+// Step is one stage of a workflow: a number of identical tasks. It is part of the fingerprint, so fields added to it must be left out of its JSON
+// form while they are zero.
 type Step struct {
 	Tasks             int       `json:"tasks"`
 	Task              Resources `json:"task,omitzero"` // resources of each task
@@ -42,7 +43,8 @@
 	ID                   string `json:"id"`
 	Queue                string `json:"queue"`
 	Workspace            string `json:"workspace"`
-	Pool                 string `json:"pool"` // pool of workers that run it
+	Origin               string `json:"origin,omitempty"` // address of the queue when it was submitted; see Route.Origin
+	Pool                 string `json:"pool"`             // pool of workers that run it
 	Spec                 string `json:"spec,omitempty"`
 	Steps                []Step `json:"steps"`
 	ScheduledOccurrences int    `json:"times,omitempty"` // number of scheduled occurrences; 0 for a workflow that runs once, immediately
@@ -74,6 +76,26 @@
 	return w.StartAtMS + int64(occurrence)*w.IntervalMS
 }
 
+// Fingerprint returns a hash of what the submitter asked for: the specification, the steps and the schedule. What the queue's policy and the
+// time of acceptance add is left out, so that a workflow has the same fingerprint whenever it is submitted.
+func (w *Workflow) Fingerprint() (string, error) {
+	content := struct {
+		Spec                 string `json:"spec"`
+		Steps                []Step `json:"steps"`
+		ScheduledOccurrences int    `json:"times"`
+		StartAtMS            int64  `json:"start_at_ms"`
+		IntervalMS           int64  `json:"interval_ms"`
+	}{Spec: w.Spec, Steps: w.Steps}
+	if w.ScheduledOccurrences > 0 { // else the times have no effect
+		content.ScheduledOccurrences, content.StartAtMS, content.IntervalMS = w.ScheduledOccurrences, w.StartAtMS, w.IntervalMS
+	}
+	hash, err := fingerprint(content)
+	if err != nil {
+		return "", fmt.Errorf("workflow %s: %w", w.ID, err)
+	}
+	return hash, nil
+}
+
 // Maxima of an accepted workflow. The state of each task of each occurrence is held in memory.
 const (
 	MaxSpecBytes   = 4000
