--- a/internal/control/coordinator/jobs.go
+++ b/internal/control/coordinator/jobs.go
@@ -16,8 +16,8 @@
 // Submit commits a job to the replicated state and calls done with its status. The checks for new jobs don't apply to a
 // job that is already known or is being committed.
 func (c *Coordinator) Submit(job pj.Job, done func(pj.JobStatus, error)) {
-	resubmit := func() { c.Submit(job, done) }
-	if c.submissions.Await(job.ID, then(resubmit, done)) {
+	fail := func(err error) { done(pj.JobStatus{}, err) }
+	if c.submissions.Await(job.ID, func() { c.Submit(job, done) }, fail) {
 		return
 	}
 	if c.options.State.Job(job.ID) == nil {
@@ -71,17 +71,6 @@
 	}
 }
 
-// then returns a function that goes on with next unless the submission that was waited for failed; its outcome is then unknown to done, too.
-func then(next func(), done func(pj.JobStatus, error)) func(error) {
-	return func(err error) {
-		if err != nil {
-			done(pj.JobStatus{}, pj.ClearNotRun(err))
-			return
-		}
-		next()
-	}
-}
-
 // checkAdmission returns the error with which a new job is rejected, or nil if it is admitted.
 func (c *Coordinator) checkAdmission(job pj.Job) *pj.Error {
 	// Until every worker has had time to report to a new leader, the cell's capacity is incomplete and
@@ -107,7 +96,8 @@
 
 // Cancel cancels a job and stops its running tasks.
 func (c *Coordinator) Cancel(id, workspace string, done func(pj.JobStatus, error)) {
-	if c.submissions.Await(id, then(func() { c.Cancel(id, workspace, done) }, done)) {
+	fail := func(err error) { done(pj.JobStatus{}, err) }
+	if c.submissions.Await(id, func() { c.Cancel(id, workspace, done) }, fail) {
 		return
 	}
 	r := c.options.State.Job(id)
--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -10,10 +10,10 @@
 // Submit commits a workflow and then calls done. Submitting the same workflow again has no effect; another one under its id is refused.
 func (c *Controller) Submit(w pj.Workflow, done func(error)) {
 	if r := c.options.State.Record(w.ID); r != nil {
-		done(c.resubmitted(r, &w))
+		done(c.checkRepetition(r, &w))
 		return
 	}
-	if c.submissions.Await(w.ID, then(func() { c.Submit(w, done) }, done)) {
+	if c.submissions.Await(w.ID, func() { c.Submit(w, done) }, done) {
 		return
 	}
 	w.AcceptedAt = c.options.UnixMilli()
@@ -25,7 +25,7 @@
 			return
 		}
 		if !r.New {
-			done(c.resubmitted(r.Record, &w))
+			done(c.checkRepetition(r.Record, &w))
 			return
 		}
 		if !c.closed {
@@ -37,20 +37,9 @@
 	})
 }
 
-// then returns a function that goes on with next unless the submission that was waited for failed; its outcome is then unknown to done, too.
-func then(next func(), done func(error)) func(error) {
-	return func(err error) {
-		if err != nil {
-			done(pj.ClearNotRun(err))
-			return
-		}
-		next()
-	}
-}
-
-// resubmitted returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
+// checkRepetition returns nil if a workflow with the id of a recorded one is that workflow, submitted again, maybe by other rules: its queue's
 // name and policy may have changed, and its key may have been withdrawn. The error has NotRun only if it is certainly another one.
-func (c *Controller) resubmitted(r *workflow.Record, w *pj.Workflow) error {
+func (c *Controller) checkRepetition(r *workflow.Record, w *pj.Workflow) error {
 	fingerprint, err := w.Fingerprint()
 	if err != nil {
 		return fmt.Errorf("compare with the recorded workflow: %w", err)
@@ -83,7 +72,7 @@
 
 // Cancel cancels a workflow and calls done once that is committed.
 func (c *Controller) Cancel(id string, reach pj.Reach, done func(error)) {
-	if c.submissions.Await(id, then(func() { c.Cancel(id, reach, done) }, done)) {
+	if c.submissions.Await(id, func() { c.Cancel(id, reach, done) }, done) {
 		return
 	}
 	r := c.options.State.Record(id)
