API: a withdrawal that this VM has carried out isn't reported as not run

Cause: the error of the call to the leader was passed on with its NotRun, after the VM had begun to refuse the key. Change: NotRun is cleared. A call that may be repeated still fails over to another VM on draining, no_quorum and keys_unknown, whether or not this VM has done a part; one that may not be (a grant) only with NotRun, as before.

--- a/internal/client/entry/entry.go
+++ b/internal/client/entry/entry.go
@@ -173,7 +173,8 @@
 func shouldFailOver(err error, idempotent bool) bool {
 	var e *pj.Error
 	if errors.As(err, &e) {
-		return e.NotRun && (e.Code == pj.CodeDraining || e.Code == pj.CodeNoQuorum || e.Code == pj.CodeKeysUnknown)
+		otherVMMayServe := e.Code == pj.CodeDraining || e.Code == pj.CodeNoQuorum || e.Code == pj.CodeKeysUnknown
+		return otherVMMayServe && (e.NotRun || idempotent)
 	}
 	return idempotent || certainlyNotRun(err)
 }
--- a/internal/client/entry/entry_test.go
+++ b/internal/client/entry/entry_test.go
@@ -47,6 +47,8 @@
 		"first VM unreachable, second rejects":             {vms: []http.HandlerFunc{nil, refuse(pj.CodeOverloaded)}, code: pj.CodeOverloaded, notRun: true},
 		"all VMs draining":                                 {vms: []http.HandlerFunc{refuse(pj.CodeDraining), refuse(pj.CodeDraining)}, code: pj.CodeDraining, notRun: true},
 		"first response lost, second VM unreachable":       {vms: []http.HandlerFunc{dropResponse, nil}, code: pj.CodeInternal},
+		"no quorum, with an effect on the first VM":        {vms: []http.HandlerFunc{respondError(pj.Fail(pj.CodeNoQuorum, "none")), accept}},
+		"no quorum anywhere, with an effect on a VM":       {vms: []http.HandlerFunc{respondError(pj.Fail(pj.CodeNoQuorum, "none")), refuse(pj.CodeNoQuorum)}, code: pj.CodeNoQuorum},
 		"unknown outcome, not sent again":                  {vms: []http.HandlerFunc{respondError(pj.Fail(pj.CodeOutcomeUnknown, "lost")), accept}, code: pj.CodeOutcomeUnknown},
 		"error of a proxy":                                 {vms: []http.HandlerFunc{proxyError}, code: pj.CodeBadResponse},
 		"context ends after a lost response":               {vms: []http.HandlerFunc{dropResponse, refuse(pj.CodeDraining)}, cancelAt: 1, code: pj.CodeOutcomeUnknown},
@@ -105,6 +107,11 @@
 		first http.HandlerFunc
 		calls int
 	}{
+		"no quorum, with an effect": {first: func(w http.ResponseWriter, _ *http.Request) {
+			e := pj.Fail(pj.CodeNoQuorum, "")
+			w.WriteHeader(e.HTTPStatus())
+			_ = json.NewEncoder(w).Encode(e)
+		}, calls: 1},
 		"response lost": {first: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, calls: 1},
 		"not run": {first: func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/server/api/operators.go
+++ b/internal/server/api/operators.go
@@ -152,12 +152,18 @@
 
 const minSecretBytes = 16
 
+// incompleteWithdrawal returns the error for a withdrawal that failed after this VM had stopped accepting the key.
+func incompleteWithdrawal(id string, err error) *pj.Error {
+	e := *pj.AsError(err)
+	e.NotRun = false
+	e.Message = "key " + id + " is refused by this VM from now on, but not yet by all VMs: " + e.Message
+	return &e
+}
+
 func (a *API) withdrawKey(w http.ResponseWriter, r *http.Request) {
 	workspace, id := r.PathValue("workspace"), r.PathValue("id")
 	if err := a.node.WithdrawKey(r.Context(), workspace, id); err != nil {
-		e := *pj.AsError(err)
-		e.Message = "key " + id + " is refused by this VM from now on, but not yet by all VMs: " + e.Message
-		writeError(w, &e)
+		writeError(w, incompleteWithdrawal(id, err))
 		return
 	}
 	writeJSON(w, http.StatusOK, pj.Key{ID: id, Workspace: workspace, Withdrawn: true})
