API: a rejected withdrawal leaves the key in use

Behind it is a fault that was there before: an operator who names another workspace than the key's is told that nothing was changed, and the VM refuses the valid key until it restarts. Cause: the VM denies the key before it asks the leader, which it must for a cut-off VM, and kept that when the leader rejected the withdrawal. Change: a denial that this call has made is taken back when the leader certainly rejected it; then the error is passed on as it is.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -101,12 +101,21 @@
 	return d.confirmed && d.clock.Now() < d.leaseUntil
 }
 
-// DenyKey makes this VM refuse a key from now on. It is used when a key is withdrawn on this VM while the fleet quorum
-// can't be reached.
-func (d *Directory) DenyKey(keyID string) {
+// DenyKey makes this VM refuse a key from now on, and reports whether it did not before. It is used when a key is withdrawn
+// on this VM while the fleet quorum can't be reached.
+func (d *Directory) DenyKey(keyID string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	_, denied := d.deniedKeys[keyID]
 	d.deniedKeys[keyID] = struct{}{}
+	return !denied
+}
+
+// AllowKey reverses DenyKey, for a withdrawal that was rejected.
+func (d *Directory) AllowKey(keyID string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.deniedKeys, keyID)
 }
 
 // Identify returns the identity to which a secret belongs. It fails closed when the key lease has expired.
--- a/internal/server/api/operators.go
+++ b/internal/server/api/operators.go
@@ -152,9 +152,12 @@
 
 const minSecretBytes = 16
 
-// incompleteWithdrawal returns the error for a withdrawal that failed after this VM had stopped accepting the key.
+// incompleteWithdrawal returns the error for a withdrawal that failed. Unless there is no such key, this VM no longer accepts it.
 func incompleteWithdrawal(id string, err error) *pj.Error {
 	e := *pj.AsError(err)
+	if e.Code == pj.CodeBadRequest && e.NotRun {
+		return &e
+	}
 	e.NotRun = false
 	e.Message = "key " + id + " is refused by this VM from now on, but not yet by all VMs: " + e.Message
 	return &e
--- a/internal/server/daemon/daemon_test.go
+++ b/internal/server/daemon/daemon_test.go
@@ -352,3 +352,24 @@
 		})
 	}
 }
+
+// TestRejectedWithdrawal guards against a VM that refuses a valid key for good because an operator named another workspace when withdrawing
+// it, and was told that nothing was changed.
+func TestRejectedWithdrawal(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 10*time.Millisecond)
+	issued, err := s.client.GrantKey(t.Context(), pj.IssuedKey{Workspace: "b"})
+	is.NoErr(err)
+	submit := func(id string) error {
+		_, err := s.client.WithKey(issued.Secret).Submit(t.Context(), id, pj.Submission{Queue: "theirs"})
+		return err
+	}
+	s.eventually(t, func() error { return submit("zone-1.before") })
+	err = s.client.WithdrawKey(t.Context(), "a", issued.ID)
+	is.True(err != nil)
+	is.Equal(pj.AsError(err).Code, pj.CodeBadRequest)
+	is.True(pj.AsError(err).NotRun)
+	is.NoErr(submit("zone-1.after"))
+	is.NoErr(s.client.WithdrawKey(t.Context(), "b", issued.ID))
+	is.Equal(pj.AsError(submit("zone-1.withdrawn")).Code, pj.CodeWrongKey)
+}
--- a/internal/server/node/client.go
+++ b/internal/server/node/client.go
@@ -149,10 +149,15 @@
 
 // WithdrawKey withdraws a key. This VM refuses the key from now on, even if the fleet leader can't be reached.
 func (n *Node) WithdrawKey(ctx context.Context, workspace, id string) error {
-	n.directory.DenyKey(id)
-	n.log("event", "key_withdrawn", "workspace", workspace, "key", id)
+	newlyDenied := n.directory.DenyKey(id)
 	defer n.triggerSync()
-	return n.callLeader(ctx, topology.FleetGroup, opWithdrawKey, 0, fleet.Withdraw{Workspace: workspace, ID: id}, nil)
+	err := n.callLeader(ctx, topology.FleetGroup, opWithdrawKey, 0, fleet.Withdraw{Workspace: workspace, ID: id}, nil)
+	rejected := err != nil && pj.AsError(err).Code == pj.CodeBadRequest && pj.AsError(err).NotRun
+	if rejected && newlyDenied {
+		n.directory.AllowKey(id)
+	}
+	n.log("event", "key_withdrawn", "workspace", workspace, "key", id, "err", err)
+	return err
 }
 
 // Keys returns the keys of a workspace, or all keys for "".
