--- a/internal/server/leaderclient/refusal_test.go
+++ b/internal/server/leaderclient/refusal_test.go
@@ -10,7 +10,8 @@
 	"papayajunction/internal/server/leaderclient"
 )
 
-// TestRefusalWithoutNotRun: an attempt whose error lacks NotRun may have had an effect, whatever its code. No operation answers so today.
+// TestRefusalWithoutNotRun guards against a certain refusal of a call that waited for a failed submission: an attempt whose error lacks NotRun may
+// have had an effect, whatever its code.
 func TestRefusalWithoutNotRun(t *testing.T) {
 	for _, code := range []pj.Code{pj.CodeNotLeader, pj.CodeNoQuorum} {
 		t.Run(string(code), func(t *testing.T) {
