Logs: what a worker's lease rested on when it restarted

Change: worker_heard and lease_over have clock_ms; worker_restarted has clock_ms, clock_before_ms and until_before_ms, the lease end that the former life, or a call that reached the new one, was given.

--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -306,12 +306,14 @@
 			w.nextPollAt = now + pollRetryDelay
 			return
 		}
-		c.options.Events.Record("worker_restarted", "worker", w.ID, "born", response.Incarnation, "before", w.Incarnation, "runs", len(w.runs))
+		c.options.Events.Record("worker_restarted", "worker", w.ID, "born", response.Incarnation, "before", w.Incarnation, "runs", len(w.runs),
+			"clock_ms", response.ClockMS, "clock_before_ms", w.minClockMS(now), "until_before_ms", w.leaseEndMS)
 		w.Incarnation = response.Incarnation
 		w.restarted(now)
 	}
 	if !w.polled {
-		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs))
+		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs),
+			"clock_ms", response.ClockMS)
 	}
 	w.polled = true
 	w.confirmedAddress = w.Address
@@ -469,7 +471,7 @@
 	for _, v := range w.runs {
 		if v.phase == phaseCommitted && !v.ending {
 			c.options.Events.Record("lease_over", "worker", w.ID, "run", v.id.Task, "number", v.id.Run,
-				"silent", now-w.polledAt, "until_ms", w.leaseEndMS)
+				"silent", now-w.polledAt, "until_ms", w.leaseEndMS, "clock_ms", w.minClockMS(now))
 			c.end(v, pj.EndWorkerLost, v.checkpoint)
 		}
 	}
