--- a/internal/standin/polledworker/polledworker.go
+++ b/internal/standin/polledworker/polledworker.go
@@ -1,6 +1,6 @@
 // Package polledworker is an in-memory stand-in for workers that serve start, stop, pace and poll requests at their
 // addresses. It follows the protocol for fencing tokens, run numbers, leases and acknowledgements, and records violations
-// of guarantees.
+// of guarantees. A worker may restart under its id; it then knows nothing of before.
 package polledworker
 
 import (
@@ -13,6 +13,9 @@
 	pj "papayajunction"
 )
 
+// maxLease is the longest lease that a worker holds; it shortens longer ones.
+const maxLease = 10 * time.Second
+
 // Fleet is a set of stand-in workers. It implements pj.WorkerClient and is safe for concurrent use.
 type Fleet struct {
 	mu         sync.Mutex
@@ -26,6 +29,7 @@
 
 type worker struct {
 	info           pj.PolledWorker
+	clockOffset    int64  // added to the fleet's clock
 	fence          uint64 // highest fencing token received
 	leaseUntil     int64  // 0 before the first lease
 	runs           map[pj.RunID]time.Time
@@ -44,13 +48,42 @@
 		running: make(map[pj.TaskID]string), finishes: make(map[pj.TaskID]int),
 	}
 	for _, info := range infos {
-		f.workers[info.ID] = &worker{
-			info: info, runs: make(map[pj.RunID]time.Time), lastEnded: make(map[pj.TaskID]int),
-		}
+		f.workers[info.ID] = newWorker(info, 0)
 	}
 	return f
 }
 
+func newWorker(info pj.PolledWorker, clockOffset int64) *worker {
+	return &worker{info: info, clockOffset: clockOffset, runs: make(map[pj.RunID]time.Time), lastEnded: make(map[pj.TaskID]int)}
+}
+
+// Restart ends a worker and starts it again under its id, with the given incarnation and clock in milliseconds. Its runs end without a
+// record. The caller closes the connections to it.
+func (f *Fleet) Restart(id string, incarnation, clockMS int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	f.advance(w)
+	for run := range w.runs {
+		if f.running[run.Task] == id {
+			delete(f.running, run.Task)
+		}
+	}
+	info := w.info
+	info.Incarnation = incarnation
+	restarted := newWorker(info, clockMS-f.clock())
+	restarted.unresponsive = w.unresponsive
+	f.workers[id] = restarted
+}
+
+// RemainingLease returns how long the tasks on a worker may still run without a renewal of its lease.
+func (f *Fleet) RemainingLease(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	return time.Duration(max(w.leaseUntil-f.clockOf(w), 0)) * time.Millisecond
+}
+
 // Violations returns the violations so far: tasks that finished twice or ran on two workers at once.
 func (f *Fleet) Violations() []string {
 	f.mu.Lock()
@@ -79,33 +112,47 @@
 	f.workers[id].unresponsive = unresponsive
 }
 
-// clock returns the monotonic clock of all workers, in milliseconds; it starts at 1.
+// clock returns the fleet's monotonic clock, in milliseconds; it starts at 1.
 func (f *Fleet) clock() int64 {
 	return time.Since(f.started).Milliseconds() + 1
 }
 
-// execute carries out a request on a worker, after ending the runs that are over by now. It refuses a request whose fencing
-// token is older than one received before, and waits until ctx ends if the worker is unresponsive.
-func (f *Fleet) execute(ctx context.Context, id string, fence uint64, request func(w *worker) error) (int64, error) {
+// clockOf returns the monotonic clock of a worker, in milliseconds.
+func (f *Fleet) clockOf(w *worker) int64 {
+	return f.clock() + w.clockOffset
+}
+
+// renew extends the lease of a worker. It never shortens it.
+func (f *Fleet) renew(w *worker, untilMS int64) {
+	w.leaseUntil = max(w.leaseUntil, min(untilMS, f.clockOf(w)+maxLease.Milliseconds()))
+}
+
+// execute carries out a request on a worker, after ending the runs that are over by now. It refuses a request that is meant for another
+// incarnation or whose fencing token is older than one received before, and waits until ctx ends if the worker is unresponsive.
+func (f *Fleet) execute(ctx context.Context, addressee *pj.PolledWorker, fence uint64, request func(w *worker) error) (int64, error) {
 	f.mu.Lock()
-	w := f.workers[id]
+	w := f.workers[addressee.ID]
 	if w == nil || w.unresponsive {
 		f.mu.Unlock()
 		<-ctx.Done()
-		return 0, fmt.Errorf("worker %s does not respond: %w", id, ctx.Err())
+		return 0, fmt.Errorf("worker %s does not respond: %w", addressee.ID, ctx.Err())
 	}
 	defer f.mu.Unlock()
 	f.advance(w)
+	clock := f.clockOf(w)
+	if addressee.Incarnation != 0 && addressee.Incarnation != w.info.Incarnation {
+		return clock, &pj.RefusedError{Reason: pj.RefusedRestarted, ClockMS: clock, Incarnation: w.info.Incarnation}
+	}
 	if fence < w.fence {
-		return f.clock(), &pj.RefusedError{Reason: pj.RefusedStaleFence, ClockMS: f.clock()}
+		return clock, &pj.RefusedError{Reason: pj.RefusedStaleFence, ClockMS: clock}
 	}
 	w.fence = fence
-	return f.clock(), request(w)
+	return clock, request(w)
 }
 
 // leaseOver reports whether the worker's last lease has ended, and with it all runs on the worker.
 func (f *Fleet) leaseOver(w *worker) bool {
-	return w.leaseUntil != 0 && f.clock() > w.leaseUntil
+	return w.leaseUntil != 0 && f.clockOf(w) > w.leaseUntil
 }
 
 // advance ends the runs whose run time or lease is over.
@@ -136,20 +183,20 @@
 
 // Start implements pj.WorkerClient.
 func (f *Fleet) Start(ctx context.Context, info *pj.PolledWorker, r pj.StartRequest) (int64, error) {
-	return f.execute(ctx, info.ID, r.Fence, func(w *worker) error {
+	return f.execute(ctx, info, r.Fence, func(w *worker) error {
 		if _, runs := w.runs[r.Run]; runs {
 			return nil
 		}
 		if r.Run.Run <= w.lastEnded[r.Run.Task] {
 			return &pj.RefusedError{Reason: pj.RefusedStaleRun}
 		}
-		if r.LeaseUntilMS <= f.clock() {
+		if r.LeaseUntilMS <= f.clockOf(w) {
 			return &pj.RefusedError{Reason: pj.RefusedLeaseExpired}
 		}
 		if other, runs := f.running[r.Run.Task]; runs && !f.leaseOver(f.workers[other]) {
 			f.violations = append(f.violations, fmt.Sprintf("task %s was running on %s when it was started on %s", r.Run.Task, other, w.info.ID))
 		}
-		w.leaseUntil = max(w.leaseUntil, r.LeaseUntilMS)
+		f.renew(w, r.LeaseUntilMS)
 		w.runs[r.Run] = time.Now()
 		f.running[r.Run.Task] = w.info.ID
 		return nil
@@ -158,7 +205,7 @@
 
 // Stop implements pj.WorkerClient.
 func (f *Fleet) Stop(ctx context.Context, info *pj.PolledWorker, run pj.RunID, fence uint64) (int64, error) {
-	return f.execute(ctx, info.ID, fence, func(w *worker) error {
+	return f.execute(ctx, info, fence, func(w *worker) error {
 		if _, runs := w.runs[run]; runs {
 			f.end(w, run, pj.EndStopped)
 		}
@@ -169,7 +216,7 @@
 
 // Pace implements pj.WorkerClient.
 func (f *Fleet) Pace(ctx context.Context, info *pj.PolledWorker, _ pj.RunID, _ int, fence uint64) (int64, error) {
-	return f.execute(ctx, info.ID, fence, func(*worker) error { return nil })
+	return f.execute(ctx, info, fence, func(*worker) error { return nil })
 }
 
 // pollCheckInterval is the interval at which Poll checks for ended runs while it waits.
@@ -180,10 +227,10 @@
 	deadline := time.Now().Add(r.MaxWait)
 	for {
 		var response pj.PollResponse
-		_, err := f.execute(ctx, info.ID, r.Fence, func(w *worker) error {
-			w.leaseUntil = max(w.leaseUntil, r.LeaseUntilMS)
+		_, err := f.execute(ctx, info, r.Fence, func(w *worker) error {
+			f.renew(w, r.LeaseUntilMS)
 			w.unacknowledged = slices.DeleteFunc(w.unacknowledged, func(e pj.EndedRun) bool { return e.Number <= r.Ack })
-			response = pj.PollResponse{ClockMS: f.clock(), Incarnation: w.info.Incarnation, Finished: slices.Clone(w.unacknowledged)}
+			response = pj.PollResponse{ClockMS: f.clockOf(w), Incarnation: w.info.Incarnation, Finished: slices.Clone(w.unacknowledged)}
 			for run, start := range w.runs {
 				response.Running = append(response.Running, pj.RunStatus{Run: run, Progress: int(100 * time.Since(start) / f.runTime)})
 			}
