Worker client: a call reaches only the incarnation that it is meant for

Cause: a worker knows only its id, which a call names. After a restart, the next poll or start goes to the new incarnation over a new connection, although the leader means the earlier one. It carries a lease end by the earlier one's clock, which the worker only shortens to its maximum of 10 s, and the number of the earlier one's last end, at which the new one forgets ends that nobody has committed. The leader that sent the call finds out and waits for 12 s; the next leader doesn't know, and starts the tasks elsewhere after 6.3 s. Change: a connection is opened for one incarnation of a worker, and carries calls for that one only (addressee). Before its first use the dialer polls over it, without a lease and without an acknowledgement, and closes it unless that incarnation answers; the caller gets RefusedRestarted with the incarnation that did. The controller then polls that one; orders through relays name the incarnation. Why it works: a restart ends the connections of the incarnation before, so nothing that was sent over one arrives at the next. What a worker is told by its clock or its numbers was told by those of the incarnation that hears it, and a lease lasts at most as long as each leader expects. TestRestartSeenByRefusal is new with the refusal. Weighed: waiting for the longest lease after each change of leader (no help against forgotten ends; work of silent workers waits 6 s longer for each of them); polls without a lease after a lost answer (a worker that restarts between two calls isn't noticed).

--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -65,6 +65,8 @@
 	step    pj.StepID
 	workers []string
 
+	incarnation int64 // of the worker; for polls
+
 	answer       func(error)
 	answerPoll   func(pj.PollResponse, error)
 	answerAdvice func(pj.Advice, error)
@@ -82,7 +84,7 @@
 }
 
 func (o *orders) Poll(w pj.PolledWorker, request pj.PollRequest, done func(pj.PollResponse, error)) {
-	o.sent = append(o.sent, &order{kind: "poll", worker: w.ID, poll: request, answerPoll: done})
+	o.sent = append(o.sent, &order{kind: "poll", worker: w.ID, incarnation: w.Incarnation, poll: request, answerPoll: done})
 }
 
 func (o *orders) Pace(w pj.PolledWorker, run pj.RunID, _ int, _ uint64, done func(int64, error)) {
--- /dev/null
+++ b/internal/control/runs/restart_test.go
@@ -0,0 +1,72 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	pj "papayajunction"
+)
+
+// TestRestartSeenByRefusal guards against a task on two workers after a restart: what was told to an incarnation that has ended must not
+// be told to the next one, whose clock and numbers of ends are others.
+func TestRestartSeenByRefusal(t *testing.T) {
+	restarted := &pj.RefusedError{Reason: pj.RefusedRestarted, Incarnation: testIncarnation + 1, ClockMS: 7}
+	tests := map[string]func(x *cell, start *order){
+		"by a poll": func(x *cell, start *order) {
+			start.answer(nil)
+			for _, o := range x.orders.take("poll") {
+				o.answerPoll(pj.PollResponse{}, restarted)
+			}
+		},
+		"by a start order": func(_ *cell, start *order) {
+			start.answer(restarted)
+		},
+		"by a start order and the poll in flight": func(x *cell, start *order) {
+			start.answer(restarted)
+			for _, o := range x.orders.take("poll") {
+				o.answerPoll(pj.PollResponse{}, restarted)
+			}
+		},
+		"by a stop order": func(x *cell, start *order) {
+			start.answer(nil)
+			x.answerPolls(map[string]pj.PollResponse{"w0": {Running: []pj.RunStatus{{Run: start.run}}, Finished: []pj.EndedRun{{Number: 57, Run: runID("z", 0, 1), Outcome: pj.EndStopped}}}})
+			x.c.Cancel("a", ofTeam, func(err error) { x.is.NoErr(err) })
+			x.c.Flush()
+			stops := x.orders.take("stop")
+			x.is.Equal(len(stops), 1)
+			stops[0].answer(restarted)
+		},
+	}
+	for name, refuse := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			x.submit("a", oneTask())
+			start := x.orders.take("start")[0]
+			x.advance(100 * time.Millisecond)
+			refuse(x, start)
+			x.flush()
+			x.advance(300 * time.Millisecond)
+			var first *order
+			for _, o := range x.orders.take("poll") {
+				if o.incarnation == testIncarnation+1 {
+					first = o
+				}
+			}
+			x.is.True(first != nil) // the new incarnation is polled
+			x.is.Equal(first.poll.LeaseUntilMS, int64(0))
+			x.is.Equal(first.poll.Ack, int64(0))
+			x.is.Equal(len(x.orders.take("start")), 0) // it has not announced itself
+
+			x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Incarnation, w.Sequence = testIncarnation+1, 1 })))
+			x.submit("b", oneTask())
+			for range 3 {
+				for _, o := range append(x.orders.take("poll"), first) {
+					o.answerPoll(pj.PollResponse{Incarnation: testIncarnation + 1, ClockMS: 8 + x.clock.now.Milliseconds()}, nil)
+				}
+				x.flush()
+				x.advance(100 * time.Millisecond)
+			}
+			x.is.True(len(x.orders.take("start")) > 0)
+		})
+	}
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -135,11 +135,11 @@
 		return
 	}
 	c.options.Events.Record("start_refused", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "reason", refused.Reason)
-	c.startRefused(now, v, refused.Reason)
+	c.startRefused(now, v, refused)
 }
 
-func (c *Controller) startRefused(now time.Duration, v *run, reason pj.RefusalReason) {
-	switch reason {
+func (c *Controller) startRefused(now time.Duration, v *run, refused *pj.RefusedError) {
+	switch refused.Reason {
 	case pj.RefusedStaleFence:
 		c.depose(v.worker, "start")
 		return
@@ -154,6 +154,8 @@
 		v.worker.nextPollAt = 0
 		v.worker.polled = false
 		c.poll(v.worker)
+	case pj.RefusedRestarted:
+		c.refusedRestarted(now, v.worker, refused)
 	}
 	c.end(v, pj.EndNotStarted, "")
 }
@@ -189,6 +191,8 @@
 			}
 		case errors.As(err, &refused) && refused.Reason == pj.RefusedStaleFence:
 			c.depose(v.worker, "stop")
+		case errors.As(err, &refused) && refused.Reason == pj.RefusedRestarted:
+			c.refusedRestarted(c.options.Clock.Now(), v.worker, refused)
 		}
 	})
 }
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -144,7 +144,6 @@
 	} else if info.Incarnation >= w.Incarnation {
 		if info.Incarnation > w.Incarnation {
 			w.restarted(c.options.Clock.Now())
-			w.clockMS, w.polled, w.knownSince = 0, false, c.options.Clock.Now()
 		}
 		used := w.Capacity.Sub(w.free)
 		w.PolledWorker, w.described = info, info.Incarnation
@@ -187,14 +186,28 @@
 	return w.usable && w.described == w.Incarnation && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
 }
 
-// restarted resets the lease state for a new incarnation of the worker. A start order for the previous incarnation may have
-// reached this one. Its lease end is on the previous incarnation's clock, so only maxLease bounds that lease.
+// restarted resets what the earlier incarnation of the worker has told and been told. A VM whose calls don't distinguish
+// incarnations, such as one of an earlier version, may have given this one a lease that ends by the earlier one's clock;
+// only maxLease bounds it.
 func (w *worker) restarted(now time.Duration) {
-	w.acked = 0
-	w.leaseEndMS = 0
+	w.acked, w.leaseEndMS, w.clockMS = 0, 0, 0
+	w.polled, w.knownSince = false, now
+	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
 	w.unknownLeaseUntil = now + maxLease + leaseMargin
 }
 
+// handleRestart handles the answer of another incarnation than the current one. It returns false if that one isn't later.
+func (c *Controller) handleRestart(now time.Duration, w *worker, incarnation, clockMS int64) bool {
+	if incarnation <= w.Incarnation || incarnation > c.latestIncarnation() {
+		return false
+	}
+	c.options.Events.Record("worker_restarted", "worker", w.ID, "born", incarnation, "before", w.Incarnation, "runs", len(w.runs),
+		"clock_ms", clockMS, "clock_before_ms", w.minClockMS(now), "until_before_ms", w.leaseEndMS)
+	w.Incarnation = incarnation
+	w.restarted(now)
+	return true
+}
+
 // minClockMS returns a lower bound of the worker's clock.
 func (w *worker) minClockMS(now time.Duration) int64 {
 	elapsed := float64(now-w.clockReadAt) * minClockRate / float64(time.Millisecond)
@@ -271,15 +284,10 @@
 func (c *Controller) sendPoll(now time.Duration, w *worker, request pj.PollRequest, inFlight *bool) {
 	incarnation := w.Incarnation
 	c.options.Orders.Poll(w.PolledWorker, request, func(response pj.PollResponse, err error) {
-		*inFlight = false
-		if c.closed || c.workers[w.ID] != w {
-			return
-		}
-		if w.Incarnation != incarnation {
-			// The answer may be from the previous incarnation.
-			c.poll(w)
-			return
+		if c.closed || c.workers[w.ID] != w || w.Incarnation != incarnation {
+			return // the answer may be from an earlier incarnation
 		}
+		*inFlight = false
 		c.handlePollResponse(w, now, response, err)
 	})
 }
@@ -301,15 +309,9 @@
 		c.pollFailed(now, w, err)
 		return
 	}
-	if response.Incarnation != 0 && response.Incarnation != w.Incarnation {
-		if response.Incarnation < w.Incarnation || response.Incarnation > c.latestIncarnation() {
-			w.nextPollAt = now + pollRetryDelay
-			return
-		}
-		c.options.Events.Record("worker_restarted", "worker", w.ID, "born", response.Incarnation, "before", w.Incarnation, "runs", len(w.runs),
-			"clock_ms", response.ClockMS, "clock_before_ms", w.minClockMS(now), "until_before_ms", w.leaseEndMS)
-		w.Incarnation = response.Incarnation
-		w.restarted(now)
+	if response.Incarnation != 0 && response.Incarnation != w.Incarnation && !c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
+		w.nextPollAt = now + pollRetryDelay
+		return
 	}
 	if !w.polled {
 		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs),
@@ -340,11 +342,21 @@
 		c.depose(w, "look")
 	case pj.RefusedIncarnation:
 		c.replacedAtAddress(now, w)
+	case pj.RefusedRestarted:
+		c.refusedRestarted(now, w, refused)
 	default:
 		w.unhealthyUntil = now + unhealthyBackoff
 	}
 }
 
+// refusedRestarted polls a worker that has refused a call because it has restarted.
+func (c *Controller) refusedRestarted(now time.Duration, w *worker, refused *pj.RefusedError) {
+	if c.handleRestart(now, w, refused.Incarnation, refused.ClockMS) {
+		w.nextPollAt = now
+		c.poll(w)
+	}
+}
+
 // replacedAtAddress handles the answer of another worker at a worker's address. If this leader has reached the worker there,
 // its process has ended, and so have its runs. Else the address may be wrong, and the runs go on until their leases expire.
 func (c *Controller) replacedAtAddress(now time.Duration, w *worker) {
--- a/internal/server/cluster/orders.go
+++ b/internal/server/cluster/orders.go
@@ -18,13 +18,14 @@
 
 // order is one call to a worker; exactly one of the last four fields is set.
 type order struct {
-	Number  uint64           `json:"number"` // identifies the order between the leader and a relay
-	Worker  string           `json:"worker"`
-	Address string           `json:"address"`
-	Start   *pj.StartRequest `json:"start,omitempty"`
-	Stop    *stopRequest     `json:"stop,omitempty"`
-	Poll    *pj.PollRequest  `json:"hold,omitempty"`
-	Pace    *paceRequest     `json:"pace,omitempty"`
+	Number      uint64           `json:"number"` // identifies the order between the leader and a relay
+	Worker      string           `json:"worker"`
+	Incarnation int64            `json:"born,omitempty"` // of the worker; no other one receives the order
+	Address     string           `json:"address"`
+	Start       *pj.StartRequest `json:"start,omitempty"`
+	Stop        *stopRequest     `json:"stop,omitempty"`
+	Poll        *pj.PollRequest  `json:"hold,omitempty"`
+	Pace        *paceRequest     `json:"pace,omitempty"`
 }
 
 type stopRequest struct {
@@ -70,7 +71,7 @@
 func (v *VM) execute(ctx context.Context, o order) orderResult {
 	ctx, cancel := context.WithTimeout(ctx, o.timeout())
 	defer cancel()
-	w := &pj.PolledWorker{ID: o.Worker, Address: o.Address}
+	w := &pj.PolledWorker{ID: o.Worker, Incarnation: o.Incarnation, Address: o.Address}
 	result := orderResult{Number: o.Number}
 	var err error
 	switch {
@@ -101,7 +102,7 @@
 }
 
 func (o *orderSender) send(w *pj.PolledWorker, call order, done func(orderResult)) {
-	call.Worker, call.Address = w.ID, w.Address
+	call.Worker, call.Incarnation, call.Address = w.ID, w.Incarnation, w.Address
 	if o.relays.enqueue(w.Zone, call, done) {
 		return
 	}
--- a/workerapi.go
+++ b/workerapi.go
@@ -165,14 +165,16 @@
 	RefusedNoCapacity   RefusalReason = "room"       // the worker has too little free capacity
 	RefusedTicket       RefusalReason = "ticket"     // the ticket is missing, wrong or expired
 	RefusedUnhealthy    RefusalReason = "unhealthy"  // the worker is unhealthy and did not carry out the request
-	RefusedIncarnation  RefusalReason = "other_life" // the request is for another incarnation
+	RefusedIncarnation  RefusalReason = "other_life" // the request is for another worker
+	RefusedRestarted    RefusalReason = "restarted"  // the request is for another incarnation of the worker
 	RefusedInvalid      RefusalReason = "invalid"
 )
 
 // RefusedError is returned when a worker certainly did not carry out a request.
 type RefusedError struct {
-	Reason  RefusalReason `json:"reason"`
-	ClockMS int64         `json:"clock_ms,omitempty"` // the worker's clock; 0 if the response has none
+	Reason      RefusalReason `json:"reason"`
+	ClockMS     int64         `json:"clock_ms,omitempty"` // the worker's clock; 0 if the response has none
+	Incarnation int64         `json:"born,omitempty"`     // for RefusedRestarted: the incarnation that answered
 }
 
 // Error returns a message with the reason.
@@ -180,8 +182,9 @@
 	return "the worker refused the request: " + string(e.Reason)
 }
 
-// WorkerClient is a client for the API of workers. After an error other than a RefusedError it is unknown
-// whether the worker carries out the request, now or later.
+// WorkerClient is a client for the API of workers. A request reaches only the given incarnation of the worker, now or later; if
+// another one answers, the error is a RefusedError with RefusedRestarted. An incarnation of 0 stands for any. After an error
+// other than a RefusedError it is unknown whether the worker carries out the request.
 type WorkerClient interface {
 	Start(ctx context.Context, w *PolledWorker, r StartRequest) (clockMS int64, err error)
 	Stop(ctx context.Context, w *PolledWorker, run RunID, fence uint64) (clockMS int64, err error)
