Worker client: a request without a connection wasn't sent

Callers saw: work waits for a worker that it was never sent to. A start without an answer counts as one that may have arrived: the leader polls, stops it, waits, and if the worker doesn't answer, waits for its lease. Cause: an error before the request was written looked like a lost answer; verified connections make such errors more frequent.

--- a/internal/control/runs/restart_test.go
+++ b/internal/control/runs/restart_test.go
@@ -70,3 +70,32 @@
 		})
 	}
 }
+
+// TestUnsentStart guards against tasks that wait for a worker without a connection: nothing was sent to it, so the task starts
+// elsewhere at once.
+func TestUnsentStart(t *testing.T) {
+	x := newCell(t, 2)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	start.answer(&pj.RefusedError{Reason: pj.RefusedUnreachable})
+	x.flush()
+	again := x.orders.take("start")
+	x.is.Equal(len(again), 1)
+	x.is.True(again[0].worker != start.worker)
+	x.is.Equal(again[0].run.Run, 2)
+	x.is.Equal(len(x.orders.take("stop")), 0)
+}
+
+// TestUnreachableWorkerIsUsedAgain: an unsent start keeps tasks from the only worker for a moment, not for good.
+func TestUnreachableWorkerIsUsedAgain(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	x.orders.take("start")[0].answer(&pj.RefusedError{Reason: pj.RefusedUnreachable})
+	x.flush()
+	x.is.Equal(len(x.orders.take("start")), 0)
+	for range 10 {
+		x.advance(100 * time.Millisecond)
+		x.answerPolls(nil)
+	}
+	x.is.Equal(len(x.orders.take("start")), 1)
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -156,6 +156,10 @@
 		c.poll(v.worker)
 	case pj.RefusedRestarted:
 		c.refusedRestarted(now, v.worker, refused)
+	case pj.RefusedUnreachable:
+		v.worker.unansweredAt = max(now, 1)
+		v.worker.unhealthyUntil = max(v.worker.unhealthyUntil, now+pollRetryDelay)
+		c.pollAtOnce(v.worker)
 	}
 	c.end(v, pj.EndNotStarted, "")
 }
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -332,7 +332,7 @@
 func (c *Controller) pollFailed(now time.Duration, w *worker, err error) {
 	w.nextPollAt = now + pollRetryDelay
 	var refused *pj.RefusedError
-	if !errors.As(err, &refused) {
+	if !errors.As(err, &refused) || refused.Reason == pj.RefusedUnreachable {
 		w.unansweredAt = max(now, 1)
 		c.options.Events.Count("look_unanswered")
 		return
--- a/workerapi.go
+++ b/workerapi.go
@@ -168,6 +168,7 @@
 	RefusedIncarnation  RefusalReason = "other_life" // the request is for another worker
 	RefusedRestarted    RefusalReason = "restarted"  // the request is for another incarnation of the worker
 	RefusedInvalid      RefusalReason = "invalid"
+	RefusedUnreachable  RefusalReason = "unreachable" // set by the client: there was no connection to the worker, and nothing was sent
 )
 
 // RefusedError is returned when a worker certainly did not carry out a request.
