Soak: workers restart under their ids, and leases and acknowledgements are checked

Change: half of the silences of workers now end in a restart under the same id, with another clock; a server a process, whose connections end with it.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -285,6 +285,9 @@
 // replaces it.
 func (l *load) sendHeartbeats(ctx context.Context, w pj.PolledWorker) {
 	for ctx.Err() == nil {
+		if incarnation := l.fleet.Incarnation(w.ID); incarnation != w.Incarnation {
+			w.Incarnation, w.Sequence = incarnation, 0
+		}
 		w.Sequence++
 		_ = l.client.Announce(ctx, l.randomAddress(replicaRole, controlPort), &w)
 		select {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -13,7 +13,7 @@
 // Kind is the kind of a fault.
 type Kind string
 
-// The kinds of fault. The script carries out the first four, the proxies those from Refuse to Reset, the stand-in workers the last.
+// The kinds of fault. The script carries out the first four, the proxies those from Refuse to Reset, the stand-in workers the last two.
 const (
 	Kill               Kind = "kill"    // SIGKILL, then a start with the same disk
 	Wipe               Kind = "wipe"    // SIGKILL, then a start with an empty disk
@@ -24,13 +24,14 @@
 	Delay              Kind = "delay"   // data to and from the VM is delayed
 	Reset              Kind = "reset"   // existing connections to the VM are closed once
 	WorkerUnresponsive Kind = "hush"    // a worker responds to no requests
+	WorkerRestart      Kind = "reborn"  // a worker responds to no requests, then restarts under its id, with another clock
 )
 
 // Fault is one fault of a plan. At is its start, from the start of the run.
 type Fault struct {
 	At       time.Duration
 	Duration time.Duration
-	Target   string // name of a VM, or id of a worker for WorkerUnresponsive
+	Target   string // name of a VM, or id of a worker for WorkerUnresponsive and WorkerRestart
 	Kind
 }
 
@@ -69,7 +70,7 @@
 	}
 	for at := warmUp; at < end; at += time.Duration(r.ExpFloat64() * float64(meanFaultInterval)) {
 		if r.IntN(2) == 0 {
-			add(at, workers, WorkerUnresponsive)
+			add(at, workers, WorkerUnresponsive, WorkerRestart)
 			continue
 		}
 		add(at, entries, Kill, Restart, Pause, Refuse, Blackhole, Delay, Reset)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/runs"
 	"papayajunction/internal/standin/polledworker"
 )
 
@@ -31,8 +32,12 @@
 	workers := o.Size.workers()
 	fleet := polledworker.New(workers, taskRunTime)
 	l := newLoad(o.Seed, o.Size, o.Client, fleet)
-	if err := serveWorkers(ctx, workers, &checkingClient{WorkerClient: fleet, load: l}, o.NewWorker); err != nil {
-		return nil, err
+	fleet.LimitLeases(runs.DefaultLease)
+	servers := newWorkerServers(l, o.NewWorker, o.Seed)
+	for _, w := range workers {
+		if err := servers.serve(ctx, w.ID, w.Address); err != nil {
+			return nil, err
+		}
 	}
 	proxies := make(map[string]*faultProxy)
 	for _, v := range o.Size.vms() {
@@ -71,7 +76,7 @@
 		faults.Add(1)
 		go func() {
 			defer faults.Done()
-			injectFault(f, fleet, proxies, instructions)
+			injectFault(ctx, f, l, servers, proxies, instructions)
 		}()
 	}
 	faults.Wait()
@@ -89,7 +94,7 @@
 var instructionMu sync.Mutex // keeps the lines of concurrent instructions apart
 
 // injectFault starts a fault, waits for its duration and ends it.
-func injectFault(f Fault, fleet *polledworker.Fleet, proxies map[string]*faultProxy, instructions io.Writer) {
+func injectFault(ctx context.Context, f Fault, l *load, servers *workerServers, proxies map[string]*faultProxy, instructions io.Writer) {
 	instruct := func(verb string) {
 		instructionMu.Lock()
 		defer instructionMu.Unlock()
@@ -97,9 +102,16 @@
 	}
 	switch f.Kind {
 	case WorkerUnresponsive:
-		fleet.SetUnresponsive(f.Target, true)
+		l.fleet.SetUnresponsive(f.Target, true)
 		time.Sleep(f.Duration)
-		fleet.SetUnresponsive(f.Target, false)
+		l.fleet.SetUnresponsive(f.Target, false)
+	case WorkerRestart:
+		l.fleet.SetUnresponsive(f.Target, true)
+		time.Sleep(f.Duration)
+		if err := servers.restart(ctx, f.Target); err != nil {
+			l.recordViolation("worker %s can't restart: %v", f.Target, err)
+		}
+		l.fleet.SetUnresponsive(f.Target, false)
 	case Refuse, Blackhole, Delay, Reset:
 		proxies[f.Target].setFault(f.Kind)
 		time.Sleep(f.Duration)
