Runs: a start for an incarnation that has ended isn't sent to the next one

Change: a run keeps the incarnation for which its start was proposed; if that has ended, the start counts as not sent. Why it works: a task starts on an incarnation only by its own announcement; the order goes to that incarnation or to none. Before: TestStartForEndedIncarnation failed, one start was sent.

--- a/internal/control/runs/restart_test.go
+++ b/internal/control/runs/restart_test.go
@@ -99,3 +99,32 @@
 	}
 	x.is.Equal(len(x.orders.take("start")), 1)
 }
+
+// TestStartForEndedIncarnation guards against tasks on a worker that may not run them: a start that was being committed while the worker
+// restarted was sent to the new incarnation, which may have other labels and another capacity.
+func TestStartForEndedIncarnation(t *testing.T) {
+	x := newCell(t, 1)
+	x.advance(100 * time.Millisecond)
+	x.group.paused = true
+	x.submit("a", oneTask())
+	x.group.resume()
+	x.group.paused = true
+	x.c.Flush() // proposes the start
+	for _, o := range x.orders.take("poll") {
+		o.answerPoll(pj.PollResponse{Incarnation: testIncarnation + 1, ClockMS: 1}, nil)
+	}
+	x.group.resume()
+	x.flush()
+	x.is.Equal(len(x.orders.take("start")), 0)
+	x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Incarnation, w.Sequence = testIncarnation+1, 1 })))
+	for range 3 {
+		x.advance(100 * time.Millisecond)
+		for _, o := range x.orders.take("poll") {
+			o.answerPoll(pj.PollResponse{Incarnation: testIncarnation + 1, ClockMS: 2 + x.clock.now.Milliseconds()}, nil)
+		}
+		x.flush()
+	}
+	starts := x.orders.take("start")
+	x.is.Equal(len(starts), 1)
+	x.is.Equal(starts[0].run.Run, 2)
+}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -29,6 +29,7 @@
 	id           pj.RunID
 	taskSet      *taskSet
 	worker       *worker
+	incarnation  int64 // of the worker for which the start was proposed; unset for adopted runs
 	phase        runPhase
 	startedAt    time.Duration
 	resolvedAt   time.Duration // since when the outcome of the start order is known; 0 while it is unknown
@@ -86,7 +87,7 @@
 		return
 	}
 	v.phase = phaseCommitted
-	if v.stopReason != "" || v.taskSet.record.State().Final() {
+	if v.stopReason != "" || v.taskSet.record.State().Final() || v.incarnation != v.worker.Incarnation {
 		c.end(v, pj.EndNotStarted, "")
 		return
 	}
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -171,7 +171,7 @@
 func (p *pass) proposeStart(ts *taskSet, index, number int, w *worker) {
 	v := &run{
 		id:      pj.RunID{Task: pj.TaskID{StepID: ts.id, Index: index}, Run: number},
-		taskSet: ts, worker: w, ticket: ts.ticketToken(w), startedAt: p.now,
+		taskSet: ts, worker: w, incarnation: w.Incarnation, ticket: ts.ticketToken(w), startedAt: p.now,
 	}
 	p.c.occupy(v)
 	p.c.batch.starts = append(p.c.batch.starts, v)
