--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -214,7 +214,7 @@
 	return w.clockMS + int64(elapsed)
 }
 
-// leaseExpired reports whether the worker's leases have certainly expired, so that it has killed all its runs.
+// leaseExpired reports whether the worker's leases have certainly expired, so that it has killed all its runs. An earlier leader's leases are no longer than this one's.
 func (c *Controller) leaseExpired(now time.Duration, w *worker) bool {
 	previousEnd := c.electedAt + time.Duration(float64(c.options.Lease)/minClockRate) + leaseMargin
 	if now < previousEnd || now < w.unknownLeaseUntil {
