Soak: restarts of workers are added to a seed's plan and replace nothing

Change: restarts are drawn from random numbers of their own (PlanRestarts) and added; silences are as before.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -51,6 +51,9 @@
 	// Duration, so its VM has that much less of this time.
 	recoveryTime      = 5 * time.Second
 	meanFaultInterval = 700 * time.Millisecond // of faults that may overlap
+
+	meanRestartInterval = 1200 * time.Millisecond // of workers
+	restartStream       = 6                       // of the random numbers for restarts of workers
 )
 
 // Plan draws the faults of a run from a seed. Replicas fail one at a time, which a group of three must tolerate; faults of
@@ -70,7 +73,7 @@
 	}
 	for at := warmUp; at < end; at += time.Duration(r.ExpFloat64() * float64(meanFaultInterval)) {
 		if r.IntN(2) == 0 {
-			add(at, workers, WorkerUnresponsive, WorkerRestart)
+			add(at, workers, WorkerUnresponsive)
 			continue
 		}
 		add(at, entries, Kill, Restart, Pause, Refuse, Blackhole, Delay, Reset)
@@ -78,3 +81,14 @@
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
+
+// PlanRestarts draws restarts of workers under their ids, which are added to the faults of Plan. They have random numbers of their own, so that
+// the plan of a seed is the same with and without them.
+func PlanRestarts(seed uint64, duration time.Duration, workers []string) []Fault {
+	r := rand.New(rand.NewPCG(seed, restartStream)) //nolint:gosec // not for secrets
+	var plan []Fault
+	for at := warmUp; at < duration-coolDown; at += time.Duration(r.ExpFloat64() * float64(meanRestartInterval)) {
+		plan = append(plan, Fault{At: at, Duration: minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime))), Target: workers[r.IntN(len(workers))], Kind: WorkerRestart})
+	}
+	return plan
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,7 @@
 	CompletionTimeout time.Duration // maximum wait for accepted jobs to end after Duration; 0 for no limit
 	Client            Client
 	NewWorker         NewWorker
+	WorkerRestarts    bool // workers also restart under their ids
 }
 
 // Run injects the faults of a seed's plan into the cell. It writes the instructions for the script to instructions and its log
@@ -68,9 +69,14 @@
 		l.submitJobs(loadCtx)
 	}()
 
+	plan := Plan(o.Seed, o.Duration, o.Size.vmNames(replicaRole), o.Size.vmNames(entryRole), workerIDs)
+	if o.WorkerRestarts {
+		plan = append(plan, PlanRestarts(o.Seed, o.Duration, workerIDs)...)
+		slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	}
 	started := time.Now()
 	var faults sync.WaitGroup
-	for _, f := range Plan(o.Seed, o.Duration, o.Size.vmNames(replicaRole), o.Size.vmNames(entryRole), workerIDs) {
+	for _, f := range plan {
 		time.Sleep(time.Until(started.Add(f.At)))
 		_, _ = fmt.Fprintln(out, "fault", f)
 		faults.Add(1)
--- a/internal/soak/workers.go
+++ b/internal/soak/workers.go
@@ -13,7 +13,7 @@
 // Parameters of restarts of workers.
 const (
 	maxStartClock = 10_000_000 // upper bound of the clock, in milliseconds, with which a worker restarts
-	restartStream = 5          // of the random numbers for these clocks
+	clockStream   = 5          // of the random numbers for these clocks
 )
 
 // workerServers are the HTTP servers of the stand-in workers, one for each incarnation.
@@ -29,7 +29,7 @@
 
 func newWorkerServers(l *load, newWorker NewWorker, seed uint64) *workerServers {
 	return &workerServers{
-		load: l, newWorker: newWorker, rand: rand.New(rand.NewPCG(seed, restartStream)), //nolint:gosec // not for secrets
+		load: l, newWorker: newWorker, rand: rand.New(rand.NewPCG(seed, clockStream)), //nolint:gosec // not for secrets
 		addresses: make(map[string]string), current: make(map[string]*http.Server),
 	}
 }
