Quorum: terms may be multiples of a step

Terms become multiples of Options.TermStep, 1 by default, so nothing changes for papayad. Weighed: multiplying the term where tokens are made. After a rollback, or in the middle of an update, tokens of an earlier version's leader would then be lower than those that workers have seen, for good; with steps they are higher as long as no worker's token was raised twice in the term before. Members of both versions vote for each other: a vote only compares terms. TestTermStep.

--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -54,7 +54,8 @@
 	ElectionTimeout time.Duration
 	MaxBatchBytes   int
 	MaxInFlight     uint64
-	Rank            int // rank 0 starts elections first; each higher rank waits one more election timeout
+	Rank            int    // rank 0 starts elections first; each higher rank waits one more election timeout
+	TermStep        uint64 // terms are multiples of it, so that a leader may number what it does between its term and the next; 0 for 1
 	Rand            pj.Rand
 }
 
@@ -63,6 +64,7 @@
 	o.ElectionTimeout = cmp.Or(o.ElectionTimeout, DefaultElectionTimeout)
 	o.MaxBatchBytes = cmp.Or(o.MaxBatchBytes, DefaultMaxBatchBytes)
 	o.MaxInFlight = cmp.Or(o.MaxInFlight, DefaultMaxInFlight)
+	o.TermStep = cmp.Or(o.TermStep, 1)
 	return o
 }
 
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -18,12 +18,18 @@
 		c.startElection(now, false)
 		return
 	}
-	c.requestVotes(pj.MessagePreVote, c.term+1, false)
+	c.requestVotes(pj.MessagePreVote, c.nextTerm(), false)
+}
+
+// nextTerm returns the term of the next election: the next multiple of TermStep. A member with another step may have set the
+// current term, so it needn't be a multiple.
+func (c *Core) nextTerm() uint64 {
+	return (c.term/c.options.TermStep + 1) * c.options.TermStep
 }
 
 func (c *Core) startElection(now time.Duration, leadershipTransfer bool) {
 	c.role = candidate
-	c.term++
+	c.term = c.nextTerm()
 	c.vote = c.options.ID
 	c.leaderID = ""
 	c.votes = map[string]bool{c.options.ID: true}
@@ -106,7 +112,7 @@
 		}
 		return
 	}
-	if c.role != preCandidate || m.Term != c.term+1 {
+	if c.role != preCandidate || m.Term != c.nextTerm() {
 		return
 	}
 	c.votes[m.From] = true
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -269,6 +269,39 @@
 	}
 }
 
+// TestTermStep: terms are multiples of the step, whatever terms members with another step have set, so that the numbers between two terms
+// belong to the leader of the lower one.
+func TestTermStep(t *testing.T) {
+	tests := map[string]struct {
+		step, term, next uint64
+	}{
+		"no step":                  {term: 7, next: 8},
+		"first term":               {step: 1000, term: 1, next: 1000},
+		"next term":                {step: 1000, term: 3000, next: 4000},
+		"set by a member without":  {step: 1000, term: 3001, next: 4000},
+		"a term before the next":   {step: 1000, term: 3999, next: 4000},
+		"a step smaller than that": {step: 10, term: 3999, next: 4000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			snapshot := &pj.LogSnapshot{Index: 1, Term: 1, Membership: pj.Membership{Voters: []string{self, other, third}}}
+			c := quorum.New(quorum.Options{Group: "g", ID: self, TermStep: test.step}, pj.RecoveredState{Snapshot: snapshot, State: pj.HardState{Term: test.term}}, 0)
+			now := 3 * timeout
+			c.Tick(now)
+			preVotes := takeMessages(c, now)
+			is.True(len(preVotes) > 0)
+			is.Equal(preVotes[0].Term, test.next)
+			c.Step(now, pj.PeerMessage{Kind: pj.MessagePreVoteReply, From: other, To: self, Term: test.next})
+			votes := takeMessages(c, now)
+			is.True(len(votes) > 0)
+			is.Equal(votes[0].Term, test.next)
+			c.Step(now, pj.PeerMessage{Kind: pj.MessageVoteReply, From: other, To: self, Term: test.next})
+			is.Equal(c.Term(), test.next)
+		})
+	}
+}
+
 // TestPreVoteIsRetriedSoon guards against long elections: a member whose pre-vote came slightly too early
 // waited for a whole election timeout before the next one, and without a leader no task started meanwhile.
 func TestPreVoteIsRetriedSoon(t *testing.T) {
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -43,6 +43,7 @@
 	Rand            pj.Rand
 	Heartbeat       time.Duration
 	ElectionTimeout time.Duration
+	TermStep        uint64      // see quorum.Options
 	OnWriteError    func(error) // called when a write has failed or stalled; this VM's members are passive until one succeeds
 	OnSnapshotError func(error) // called when the state can't be encoded; the log then grows until a later snapshot succeeds
 }
@@ -113,7 +114,7 @@
 ) *Group {
 	core := quorum.New(quorum.Options{
 		Group: name, ID: h.ID(), Rank: rank, Rand: h.options.Rand,
-		Heartbeat: h.options.Heartbeat, ElectionTimeout: h.options.ElectionTimeout,
+		Heartbeat: h.options.Heartbeat, ElectionTimeout: h.options.ElectionTimeout, TermStep: h.options.TermStep,
 	}, recovered, h.options.Clock.Now())
 	g := &Group{
 		host: h, name: name, core: core, state: state, onLeadershipChange: onLeadershipChange, onApply: onApply,
