Runs: calls for a worker's earlier incarnation end with a raised fencing token

Callers could see: a task on two workers, ends that are lost unread, after a worker restarted under its id.

Cause: once a leader had noticed a restart, it took the answer that showed it for the new incarnation's state, started the task elsewhere and went on with the same fencing token.

Change: a restart raises the worker's token within the term (FencesPerTerm numbers a term). The answer that shows the restart isn't used any more, only that of the next poll, which has the raised token and neither lease nor acknowledgement: after it the worker refuses what was sent before, so a run that it doesn't list will not start there. A refusal because of the token that this leader itself has raised isn't taken for a newer leader (fence_raised in the log).

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -66,12 +66,17 @@
 	maxPruneBatch     = 1000 // workflows removed by one command: more than are submitted in one interval
 )
 
+// FencesPerTerm is the number of fencing tokens of one term. Terms are multiples of it: a leader sends its term as the token, and
+// a higher one once earlier calls to a worker must have no effect any more.
+const FencesPerTerm = 1 << 32
+
 // Controller is the leader's in-memory scheduling state. Its methods must be called on the control goroutine.
 type Controller struct {
 	options   Options
 	electedAt time.Duration // when this VM was elected
 	closed    bool
-	deposed   bool // a worker refused an order because of a newer term
+	deposed   bool   // a worker refused an order because of a newer term
+	fence     uint64 // highest fencing token in use
 
 	ledger       *fairness.Ledger
 	quarantine   *quarantine.Tracker
@@ -130,6 +135,7 @@
 	c := &Controller{
 		options:    options,
 		electedAt:  options.Clock.Now(),
+		fence:      options.Term,
 		ledger:     fairness.New(),
 		quarantine: quarantine.New(quarantine.WithQuarantine(minQuarantine, maxQuarantine)),
 		usage:      newUsageTracker(),
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -34,6 +34,7 @@
 	startedAt    time.Duration
 	resolvedAt   time.Duration // since when the outcome of the start order is known; 0 while it is unknown
 	unconfirmed  bool          // adopted from an earlier leader, and not yet listed by the worker in a poll of this one
+	fence        uint64        // fencing token of the start order; 0 for adopted runs and before it is sent
 	unansweredAt time.Duration // since when it is known that the start order got no answer; 0 if it got one or may still get it
 	ending       bool          // its end is being committed
 	stopReason   string        // why the run is to be stopped; empty if it isn't
@@ -103,8 +104,9 @@
 		return
 	}
 	task := v.taskSet.record.Task(v.id.Task)
+	v.fence = w.fence
 	order := pj.StartRequest{
-		Run: v.id, Spec: v.taskSet.record.Workflow.Spec, LeaseUntilMS: c.grantLease(now, w), Fence: c.options.Term,
+		Run: v.id, Spec: v.taskSet.record.Workflow.Spec, LeaseUntilMS: c.grantLease(now, w), Fence: v.fence,
 		Checkpoint: v.taskSet.checkpoint(task), Ticket: v.ticket,
 	}
 	v.startedAt, v.progressedAt = now, now
@@ -142,8 +144,9 @@
 func (c *Controller) startRefused(now time.Duration, v *run, refused *pj.RefusedError) {
 	switch refused.Reason {
 	case pj.RefusedStaleFence:
-		c.depose(v.worker, "start")
-		return
+		if !c.refusedByFence(v.worker, v.fence, "start") {
+			return
+		}
 	case pj.RefusedStaleRun:
 		c.resolveStart(v, false) // the worker reports the end of the run in a poll, or never ran it
 		return
@@ -182,7 +185,8 @@
 	}
 	v.stopSentAt = now
 	c.options.Events.Record("run_stopping", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", v.worker.ID, "why", v.stopReason)
-	c.options.Orders.Stop(v.worker.PolledWorker, v.id, c.options.Term, func(_ int64, err error) {
+	fence := v.worker.fence
+	c.options.Orders.Stop(v.worker.PolledWorker, v.id, fence, func(_ int64, err error) {
 		if c.closed || v.worker.runs[v.id] != v {
 			return
 		}
@@ -195,7 +199,7 @@
 				c.pollAtOnce(v.worker)
 			}
 		case errors.As(err, &refused) && refused.Reason == pj.RefusedStaleFence:
-			c.depose(v.worker, "stop")
+			c.refusedByFence(v.worker, fence, "stop")
 		case errors.As(err, &refused) && refused.Reason == pj.RefusedRestarted:
 			c.refusedRestarted(c.options.Clock.Now(), v.worker, refused)
 		}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -38,6 +38,8 @@
 	polling       bool
 	pollingAtOnce bool // a poll that is answered at once is in flight
 
+	fence uint64 // fencing token of calls to it
+
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
 	nextPollAtOnce time.Duration
 
@@ -61,7 +63,7 @@
 }
 
 func (c *Controller) addWorker(info pj.PolledWorker) *worker {
-	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt, knownSince: c.options.Clock.Now()}
+	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt, knownSince: c.options.Clock.Now(), fence: c.fence}
 	c.workers[info.ID] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, info.ID, compareID)
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -143,7 +145,7 @@
 		w = c.addWorker(info)
 	} else if info.Incarnation >= w.Incarnation {
 		if info.Incarnation > w.Incarnation {
-			w.restarted(c.options.Clock.Now())
+			c.restarted(c.options.Clock.Now(), w)
 		}
 		used := w.Capacity.Sub(w.free)
 		w.PolledWorker, w.described = info, info.Incarnation
@@ -186,14 +188,10 @@
 	return w.usable && w.described == w.Incarnation && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
 }
 
-// restarted resets what the earlier incarnation of the worker has told and been told. A VM whose calls don't distinguish
-// incarnations, such as one of an earlier version, may have given this one a lease that ends by the earlier one's clock;
-// only maxLease bounds it.
-func (w *worker) restarted(now time.Duration) {
-	w.acked, w.leaseEndMS, w.clockMS = 0, 0, 0
-	w.polled, w.knownSince = false, now
-	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
-	w.unknownLeaseUntil = now + maxLease + leaseMargin
+// minClockMS returns a lower bound of the worker's clock.
+func (w *worker) minClockMS(now time.Duration) int64 {
+	elapsed := float64(now-w.clockReadAt) * minClockRate / float64(time.Millisecond)
+	return w.clockMS + int64(elapsed)
 }
 
 // handleRestart handles the answer of another incarnation than the current one. It returns false if that one isn't later.
@@ -204,21 +202,15 @@
 	c.options.Events.Record("worker_restarted", "worker", w.ID, "born", incarnation, "before", w.Incarnation, "runs", len(w.runs),
 		"clock_ms", clockMS, "clock_before_ms", w.minClockMS(now), "until_before_ms", w.leaseEndMS)
 	w.Incarnation = incarnation
-	w.restarted(now)
+	c.restarted(now, w)
 	return true
 }
 
-// minClockMS returns a lower bound of the worker's clock.
-func (w *worker) minClockMS(now time.Duration) int64 {
-	elapsed := float64(now-w.clockReadAt) * minClockRate / float64(time.Millisecond)
-	return w.clockMS + int64(elapsed)
-}
-
 // leaseExpired reports whether the worker's leases have certainly expired, so that it has killed all its runs. An earlier leader's leases are no longer than this one's.
 func (c *Controller) leaseExpired(now time.Duration, w *worker) bool {
 	previousEnd := c.electedAt + time.Duration(float64(c.options.Lease)/minClockRate) + leaseMargin
 	if now < previousEnd || now < w.unknownLeaseUntil {
-		return false // a lease from the previous leader or for the previous incarnation may still be in force
+		return false // a lease of the previous leader, or one that was meant for an earlier incarnation, may still be in force
 	}
 	if w.leaseEndMS == 0 {
 		return true
@@ -245,7 +237,7 @@
 	}
 	w.polling = true
 	w.nextPollAt = now + minPollInterval
-	request := pj.PollRequest{Fence: c.options.Term, Ack: w.acked}
+	request := pj.PollRequest{Fence: w.fence, Ack: w.acked}
 	if w.polled {
 		request.MaxWait = w.pollWait(now)
 		request.LeaseUntilMS = c.renewedLease(now, w)
@@ -276,7 +268,7 @@
 		return
 	}
 	w.pollingAtOnce, w.nextPollAtOnce = true, now+pollAtOnceInterval
-	request := pj.PollRequest{Fence: c.options.Term, Ack: w.acked, LeaseUntilMS: c.renewedLease(now, w)}
+	request := pj.PollRequest{Fence: w.fence, Ack: w.acked, LeaseUntilMS: c.renewedLease(now, w)}
 	c.sendPoll(now, w, request, &w.pollingAtOnce)
 }
 
@@ -288,7 +280,11 @@
 			return // the answer may be from an earlier incarnation
 		}
 		*inFlight = false
-		c.handlePollResponse(w, now, response, err)
+		if err != nil {
+			c.pollFailed(c.options.Clock.Now(), w, request, err)
+			return
+		}
+		c.handlePollResponse(w, now, request.Fence, response)
 	})
 }
 
@@ -303,14 +299,14 @@
 }
 
 // handlePollResponse handles the answer to a poll that was sent at the given time.
-func (c *Controller) handlePollResponse(w *worker, sent time.Duration, response pj.PollResponse, err error) {
+func (c *Controller) handlePollResponse(w *worker, sent time.Duration, fence uint64, response pj.PollResponse) {
 	now := c.options.Clock.Now()
-	if err != nil {
-		c.pollFailed(now, w, err)
-		return
-	}
-	if response.Incarnation != 0 && response.Incarnation != w.Incarnation && !c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
+	if response.Incarnation != 0 && response.Incarnation != w.Incarnation {
 		w.nextPollAt = now + pollRetryDelay
+		if c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
+			w.nextPollAt = now
+			c.poll(w) // with the raised token: before that, calls that were meant for the earlier incarnation may change what this one lists
+		}
 		return
 	}
 	if !w.polled {
@@ -322,14 +318,14 @@
 	w.polledAt = now
 	w.clockMS, w.clockReadAt = response.ClockMS, now
 	c.updateUsable(now, w)
-	c.reconcile(now, w, sent, response)
+	c.reconcile(now, w, sent, fence, response)
 	if _, uncommitted := c.batch.acks[w]; !uncommitted {
 		c.poll(w)
 	}
 	c.dirty = true
 }
 
-func (c *Controller) pollFailed(now time.Duration, w *worker, err error) {
+func (c *Controller) pollFailed(now time.Duration, w *worker, request pj.PollRequest, err error) {
 	w.nextPollAt = now + pollRetryDelay
 	var refused *pj.RefusedError
 	if !errors.As(err, &refused) || refused.Reason == pj.RefusedUnreachable {
@@ -339,7 +335,9 @@
 	}
 	switch refused.Reason {
 	case pj.RefusedStaleFence:
-		c.depose(w, "look")
+		if c.refusedByFence(w, request.Fence, "look") {
+			w.nextPollAt = now
+		}
 	case pj.RefusedIncarnation:
 		c.replacedAtAddress(now, w)
 	case pj.RefusedRestarted:
@@ -379,7 +377,7 @@
 }
 
 // reconcile compares the runs that the worker lists with those recorded.
-func (c *Controller) reconcile(now time.Duration, w *worker, sent time.Duration, response pj.PollResponse) {
+func (c *Controller) reconcile(now time.Duration, w *worker, sent time.Duration, fence uint64, response pj.PollResponse) {
 	listed := make(map[pj.RunID]struct{}, len(response.Running)+len(response.Finished))
 	for i := range response.Running {
 		status := &response.Running[i]
@@ -395,7 +393,7 @@
 	}
 	for id, v := range w.runs {
 		if _, ok := listed[id]; !ok {
-			c.reconcileMissing(now, v, sent)
+			c.reconcileMissing(now, v, sent, fence)
 		}
 	}
 }
@@ -424,9 +422,8 @@
 func (c *Controller) reconcileRunning(now time.Duration, w *worker, status *pj.RunStatus) {
 	v := w.runs[status.Run]
 	if v == nil {
-		// No live run here: a delayed start order was carried out, or the workflow has ended.
 		c.options.Events.Record("stray_run", "worker", w.ID, "run", status.Run.Task, "number", status.Run.Run)
-		c.options.Orders.Stop(w.PolledWorker, status.Run, c.options.Term, func(int64, error) {})
+		c.options.Orders.Stop(w.PolledWorker, status.Run, w.fence, func(int64, error) {})
 		return
 	}
 	if v.resolvedAt == 0 || v.unconfirmed {
@@ -449,11 +446,11 @@
 	}
 }
 
-// reconcileMissing handles a recorded run that the worker doesn't list.
-func (c *Controller) reconcileMissing(now time.Duration, v *run, sent time.Duration) {
+// reconcileMissing handles a recorded run that the worker doesn't list in its answer to a poll with the given token.
+func (c *Controller) reconcileMissing(now time.Duration, v *run, sent time.Duration, fence uint64) {
 	switch {
 	case v.phase != phaseCommitted || v.ending:
-	case v.resolvedAt != 0 && v.resolvedAt <= sent:
+	case (v.resolvedAt != 0 && v.resolvedAt <= sent) || (v.fence != 0 && v.fence < fence): // in the second case the worker refuses the start from now on
 		c.end(v, pj.EndWorkerLost, v.checkpoint)
 	case v.resolvedAt == 0 && v.unansweredAt != 0 && v.unansweredAt <= sent && now >= v.stopSentAt+stopRetryInterval:
 		c.stop(v, "the start order was not answered")
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -71,7 +71,7 @@
 	r.loadMeter = &loadMeter{replica: r, store: store, saver: writer}
 	r.host = control.New(control.Options{
 		VM: v.options.Address, Incarnation: r.incarnation, Saver: writer, Transport: v.transport, Clock: v.clock,
-		Rand: newRand(), Heartbeat: heartbeatInterval, ElectionTimeout: electionTimeout,
+		Rand: newRand(), Heartbeat: heartbeatInterval, ElectionTimeout: electionTimeout, TermStep: runs.FencesPerTerm,
 		OnWriteError:    func(err error) { v.log("disk_write_failed", "err", err) },
 		OnSnapshotError: func(err error) { v.log("snapshot_failed", "err", err) },
 	})
