Runs: a new leader waits for leases that were meant for an earlier incarnation

Cause: a poll for a worker's earlier incarnation, by another clock, gives the next one a lease of the worker's maximum (10 s).

Change: the replicated state marks a worker whose incarnation follows another known one, also after it was removed, as unsettled, until the leader commits that the longest lease since the first answer with the raised token has ended. A successor waits for the longest lease after the first answer of an unsettled worker, and after its election for a worker that it hasn't heard at all, as that may be another incarnation than the recorded one.

Two tests had the old wait as their upper bound: TestOrders ("a new leader waits for the lease of an unreachable worker to expire") and TestWrongAddress held that a run on a worker that the new leader never reaches counts as ended 6.3 s after the election. That is the fault: such a worker may hold 10 s. They are as strict about the longest lease now: nothing before it, the start within a second after it (and twice the lease), as before.

Cost: after a change of leader, tasks on workers that stay silent start elsewhere 4 s later where the bound is 10 s.

--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -42,6 +42,7 @@
 	GracePeriod   time.Duration // time between SIGTERM and SIGKILL
 	MaxRulesDelay time.Duration // maximum time between the acknowledgement of published rules and their being in force on every VM; 0 for no guarantee
 	Retention     time.Duration // retention time of workflows in a final state; 0 for the daemon's default
+	MaxLease      time.Duration // longest time, on a worker's own clock, for which it holds a lease whatever end an order sets; 0 for the daemon's default
 	MemoryMB      int64         // memory of this VM in MiB; 0 if unknown
 	InsecurePeers bool          // connections between VMs are not encrypted; for private networks only
 	Quiet         bool
@@ -90,6 +91,7 @@
 	fs.DurationVar(&s.GracePeriod, "grace", s.GracePeriod, "time between SIGTERM and SIGKILL")
 	fs.DurationVar(&s.MaxRulesDelay, "rules_within", s.MaxRulesDelay, "maximum time between the acknowledgement of published rules and their being in force on every VM, 0 for no guarantee")
 	fs.DurationVar(&s.Retention, "keep", s.Retention, "retention time of workflows in a final state, 0 for 20m")
+	fs.DurationVar(&s.MaxLease, "max_worker_lease", s.MaxLease, "longest time for which a worker holds a lease, whatever end an order sets, 0 for 12s")
 	fs.Int64Var(&s.MemoryMB, "memory_mb", s.MemoryMB, "memory of this VM in MiB, 0 if unknown")
 	fs.BoolVar(&s.InsecurePeers, "insecure_peers", s.InsecurePeers, "connections between VMs are not encrypted; for private networks only")
 	fs.BoolVar(&s.Quiet, "quiet", s.Quiet, "disable logging")
@@ -149,8 +151,8 @@
 	for _, seed := range s.Seeds {
 		checkAddress("seeds", seed)
 	}
-	if s.GracePeriod <= 0 || min(s.MemoryMB, int64(s.Retention), int64(s.MaxRulesDelay)) < 0 {
-		reject("grace must be greater than 0; memory_mb, keep and rules_within must be at least 0")
+	if s.GracePeriod <= 0 || min(s.MemoryMB, int64(s.Retention), int64(s.MaxRulesDelay), int64(s.MaxLease)) < 0 {
+		reject("grace must be greater than 0; memory_mb, keep, rules_within and max_worker_lease must be at least 0")
 	}
 	return errors.Join(errs...)
 }
--- a/internal/config/settings/cluster_test.go
+++ b/internal/config/settings/cluster_test.go
@@ -29,6 +29,7 @@
 		"seed without a port":                 {replace: `"10.0.0.2:8180"]`, with: `"10.0.0.2"]`, wantErr: "seeds"},
 		"no peer port":                        {replace: `7400`, with: `0`, wantErr: "peer_port"},
 		"zero grace period":                   {replace: `"6s"`, with: `"0s"`, wantErr: "grace"},
+		"negative lease of workers":           {replace: `"grace"`, with: `"max_worker_lease":"-1s","grace"`, wantErr: "max_worker_lease"},
 		"truncated JSON":                      {replace: `"insecure_peers":true}`, with: ``, wantErr: "read settings"},
 		"unknown key":                         {replace: `"vm"`, with: `"machine"`, wantErr: "read settings"},
 	}
--- a/internal/control/runs/announcement_test.go
+++ b/internal/control/runs/announcement_test.go
@@ -89,13 +89,13 @@
 	}
 	elected := x.clock.now
 	var restarted []*order
-	for len(restarted) == 0 && x.clock.now < elected+2*runs.DefaultLease {
+	for len(restarted) == 0 && x.clock.now < elected+2*runs.DefaultMaxLease {
 		x.advance(100 * time.Millisecond)
 		answer()
 		restarted = x.orders.take("start")
 	}
 	x.is.Equal(len(restarted), 1)
-	x.is.True(x.clock.now >= elected+runs.DefaultLease)
+	x.is.True(x.clock.now >= elected+runs.DefaultMaxLease)
 }
 
 // TestRestartSeenByPoll: a poll may show that a worker has restarted before its new incarnation announces itself, perhaps with
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -51,13 +51,14 @@
 	Orders    Orders
 	Events    Events
 	Lease     time.Duration // of a worker; the same on all VMs of a system; 0 for DefaultLease
+	MaxLease  time.Duration // longest time, on its own clock, for which a worker holds a lease whatever end an order sets; 0 for DefaultMaxLease
 	Retention time.Duration // how long the status of workflows in a final state stays available; 0 for DefaultRetention
 }
 
 // Durations and limits of worker leases and of workflow retention.
 const (
-	DefaultLease      = 6 * time.Second        // a new leader is elected and has polled every worker well within it
-	maxLease          = 12 * time.Second       // longest time that a worker holds a lease, whatever end the order sets and however slow the worker's clock is
+	DefaultLease      = 6 * time.Second // a new leader is elected and has polled every worker well within it
+	DefaultMaxLease   = 12 * time.Second
 	minClockRate      = 0.97                   // minimum rate of a worker's clock relative to this VM's
 	leaseMargin       = 100 * time.Millisecond // after the end of a lease, before its tasks count as ended
 	DefaultRetention  = 20 * time.Minute
@@ -115,6 +116,7 @@
 	acks    map[*worker]int64
 	starts  []*run
 	workers []announcement
+	settled []workflow.WorkerIncarnation
 }
 
 type runEnd struct {
@@ -131,6 +133,7 @@
 // New returns the controller of a leader that was just elected.
 func New(options Options) *Controller {
 	options.Lease = cmp.Or(options.Lease, DefaultLease)
+	options.MaxLease = cmp.Or(options.MaxLease, DefaultMaxLease)
 	options.Retention = cmp.Or(options.Retention, DefaultRetention)
 	c := &Controller{
 		options:    options,
@@ -250,7 +253,7 @@
 
 func (c *Controller) commitBatch() {
 	b := c.batch
-	if len(b.ends)+len(b.starts)+len(b.workers) == 0 {
+	if len(b.ends)+len(b.starts)+len(b.workers)+len(b.settled) == 0 {
 		c.applyAcks(b.acks)
 		c.batch = batch{}
 		return
@@ -263,6 +266,7 @@
 	for _, v := range b.starts {
 		command.Start = append(command.Start, workflow.RunStart{RunID: v.id, Worker: v.worker.ID})
 	}
+	command.Settled = b.settled
 	for _, a := range b.workers {
 		command.Workers = append(command.Workers, a.worker)
 	}
--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -1,6 +1,10 @@
 package runs
 
-import "time"
+import (
+	"time"
+
+	"papayajunction/internal/control/workflow"
+)
 
 // What a leader says to one incarnation of a worker may be heard by the next: the worker can't tell them apart, a connection may outlive a
 // process, and a call without an answer may be carried out seconds later. So a call's effect on the next incarnation must be
@@ -8,6 +12,8 @@
 //
 //   - Once a restart is noticed, the worker's fencing token is raised. Only answers to calls with that token count, and they prove that
 //     calls for the earlier incarnation have no effect any more.
+//   - The lease that such a call may have set is bounded by Options.MaxLease only, from the first of these answers on. Other leaders learn
+//     of it from workflow.State.Unsettled.
 //   - Ends are acknowledged only while the current incarnation has listed every run that was sent to the worker, as an answer to a start
 //     may be another's, and a start has a higher token than the acknowledgements without an answer before it. So an acknowledgement that the next incarnation
 //     receives can't cover ends there that nobody has read.
@@ -32,6 +38,11 @@
 	return w.fence
 }
 
+// maxLeaseSpan returns the longest time that a lease lasts, whatever end a call has set.
+func (c *Controller) maxLeaseSpan() time.Duration {
+	return time.Duration(float64(c.options.MaxLease)/minClockRate) + leaseMargin
+}
+
 // ackFor returns the number up to which a poll acknowledges ends, or 0 for none. If a worker lists only a part of its ends, it must be told
 // of these before it lists the others.
 func (w *worker) ackFor() int64 {
@@ -48,13 +59,25 @@
 	w.acked, w.leaseEndMS, w.clockMS = 0, 0, 0
 	w.polled, w.ackUnanswered, w.partial, w.knownSince = false, false, false, now
 	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
-	w.unknownLeaseUntil = now + maxLease + leaseMargin
+	w.strayLease, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
 	for _, v := range w.runs {
 		v.confirmed = false
 	}
 	c.raiseFence(w)
 }
 
+// settle commits that a worker's lease is known again.
+func (c *Controller) settle(now time.Duration, w *worker) {
+	if !w.strayLease || !w.polled || now < w.unknownLeaseUntil {
+		return
+	}
+	w.strayLease = false
+	if !c.options.State.Unsettled(w.ID) {
+		return
+	}
+	c.batch.settled = append(c.batch.settled, workflow.WorkerIncarnation{ID: w.ID, Incarnation: w.Incarnation})
+}
+
 // refusedByFence handles a refusal because of a higher fencing token: if this leader has raised the worker's token since the call was
 // sent, a later call has overtaken it, else there is a newer leader. It reports whether the call was overtaken.
 func (c *Controller) refusedByFence(w *worker, fence uint64, order string) (overtaken bool) {
--- a/internal/control/runs/incarnation_test.go
+++ b/internal/control/runs/incarnation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/runs"
 )
 
 // lastPoll takes the polls, of which there must be at least one, and returns the last.
@@ -132,3 +133,91 @@
 	second := x.orders.take("start")[0]
 	x.is.True(second.start.Fence > acknowledges.poll.Fence)
 }
+
+// restartedAfter answers the polls of w1, and the given number of those of w0, and returns how long after the last of these w0's task was
+// started again.
+func (x *cell) restartedAfter(answers int, incarnation int64) (silence time.Duration) {
+	heard := x.clock.now
+	for range 400 {
+		x.advance(50 * time.Millisecond)
+		for _, o := range x.orders.take("poll") {
+			switch {
+			case o.worker == "w1":
+				o.answerPoll(x.listed(testIncarnation, 0, nil), nil)
+			case answers > 0:
+				answers--
+				heard = x.clock.now
+				o.answerPoll(x.listed(incarnation, time.Hour, []pj.RunStatus{{Run: runID("a", 0, 1)}}), nil)
+			default:
+				o.answerPoll(pj.PollResponse{}, errNoAnswer)
+			}
+		}
+		x.flush()
+		if len(x.orders.take("start")) > 0 {
+			return x.clock.now - heard
+		}
+	}
+	return x.clock.now - heard
+}
+
+// TestLeaseOfRestartedWorkerAfterElection guards against a task on two workers after a change of leader: a poll for the earlier
+// incarnation had given the worker the longest lease that one holds, and the next leader counted on that of polls for the current one.
+func TestLeaseOfRestartedWorkerAfterElection(t *testing.T) {
+	const longest = 10 * time.Second // that a worker holds
+	tests := map[string]struct {
+		recorded    int64 // incarnation of w0 in the replicated state at the election
+		answers     int   // of w0 to the new leader
+		incarnation int64 // that answers
+		longer      bool  // the lease may be longer than a leader's
+	}{
+		"the restart is recorded":                       {recorded: testIncarnation + 1, incarnation: testIncarnation + 1, answers: 1, longer: true},
+		"the restart is recorded, never heard":          {recorded: testIncarnation + 1, longer: true},
+		"the restart is seen by the first answer":       {recorded: testIncarnation, incarnation: testIncarnation + 1, answers: 1, longer: true},
+		"the restart is seen, and the worker described": {recorded: testIncarnation, incarnation: testIncarnation + 1, answers: 2, longer: true},
+		"there may have been one, never heard":          {recorded: testIncarnation, longer: true},
+		"there was none":                                {recorded: testIncarnation, incarnation: testIncarnation, answers: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 2)
+			x.submit("a", pj.Step{Tasks: 1, Task: pj.NewResources(8, 8, 0, 0), EstimateMS: 1000})
+			start := x.orders.take("start")[0]
+			x.is.Equal(start.worker, "w0")
+			start.answer(nil)
+			if test.recorded != testIncarnation {
+				x.advance(3 * time.Second) // else the announcement is refused, as the earlier incarnation has just answered
+				x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Incarnation = test.recorded })))
+			}
+			x.elect(runs.FencesPerTerm)
+			silence := x.restartedAfter(test.answers, test.incarnation)
+			if test.longer {
+				x.is.True(silence >= longest)
+				return
+			}
+			x.is.True(silence >= runs.DefaultLease && silence < longest) // work isn't kept waiting without a reason
+		})
+	}
+}
+
+// TestSettledWorker: once the lease that a call for the earlier incarnation may have set has ended, the next leader doesn't wait for it.
+func TestSettledWorker(t *testing.T) {
+	x := newCell(t, 2)
+	x.submit("a", pj.Step{Tasks: 1, Task: pj.NewResources(8, 8, 0, 0), EstimateMS: 1000})
+	start := x.orders.take("start")[0]
+	start.answer(nil)
+	x.advance(3 * time.Second)
+	x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Incarnation = testIncarnation + 1 })))
+	x.is.True(x.group.state.Unsettled("w0"))
+	for range 150 {
+		x.advance(100 * time.Millisecond)
+		for _, o := range x.orders.take("poll") {
+			incarnation := testIncarnation
+			if o.worker == "w0" {
+				incarnation++
+			}
+			o.answerPoll(x.listed(incarnation, 0, []pj.RunStatus{{Run: runID("a", 0, 1)}}), nil)
+		}
+		x.flush()
+	}
+	x.is.True(!x.group.state.Unsettled("w0"))
+}
--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/runs"
 )
 
 // TestEndIsCommittedBeforeAcknowledged: a poll that lists an end again while its commit is in progress must
@@ -165,7 +166,7 @@
 			start.answer(nil)
 			other := map[string]string{"w0": "w1", "w1": "w0"}[start.worker]
 			x.elect(2)
-			for range 58 {
+			for range int(runs.DefaultMaxLease / (100 * time.Millisecond)) { // it may have restarted, and hold the longest lease that one may hold
 				x.advance(100 * time.Millisecond)
 				x.answerPollsOf(other)
 				x.is.Equal(len(x.orders.take("start")), 0)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -53,6 +53,7 @@
 	clockMS           int64         // lower bound of the worker's clock at clockReadAt; 0 while unknown
 	clockReadAt       time.Duration
 	leaseEndMS        int64         // latest lease end that this leader has sent, on the worker's clock
+	strayLease        bool          // a call that was meant for an earlier incarnation may have set its lease
 	unknownLeaseUntil time.Duration // until then, a lease that ends after leaseEndMS may be in force
 	nextPollAt        time.Duration
 	unhealthyUntil    time.Duration // until then, the worker receives no new task
@@ -66,6 +67,9 @@
 
 func (c *Controller) addWorker(info pj.PolledWorker) *worker {
 	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt, knownSince: c.options.Clock.Now(), fence: c.fence}
+	if c.options.State.Unsettled(w.ID) {
+		w.strayLease, w.unknownLeaseUntil = true, w.knownSince+c.maxLeaseSpan()
+	}
 	c.workers[info.ID] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, info.ID, compareID)
 	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
@@ -153,6 +157,7 @@
 		w.PolledWorker, w.described = info, info.Incarnation
 		w.free = info.Capacity.Sub(used)
 		w.leftAt = 0
+		w.strayLease = w.strayLease || c.options.State.Unsettled(info.ID)
 		c.refreshCapacity()
 	}
 	c.options.Events.Record("worker_changed", "worker", info.ID, "born", info.Incarnation, "address", info.Address,
@@ -208,11 +213,10 @@
 	return true
 }
 
-// leaseExpired reports whether the worker's leases have certainly expired, so that it has killed all its runs. An earlier leader's leases are no longer than this one's.
+// leaseExpired reports whether the worker's leases have certainly expired, so that it has killed all its runs.
 func (c *Controller) leaseExpired(now time.Duration, w *worker) bool {
-	previousEnd := c.electedAt + time.Duration(float64(c.options.Lease)/minClockRate) + leaseMargin
-	if now < previousEnd || now < w.unknownLeaseUntil {
-		return false // a lease of the previous leader, or one that was meant for an earlier incarnation, may still be in force
+	if now < c.electedAt+c.previousLease(w) || now < w.unknownLeaseUntil {
+		return false
 	}
 	if w.leaseEndMS == 0 {
 		return true
@@ -220,6 +224,17 @@
 	return w.clockMS > 0 && w.minClockMS(now) > w.leaseEndMS+leaseMargin.Milliseconds()
 }
 
+// previousLease returns how long after the election leases of earlier leaders may last. They are no longer than this one's, but for those
+// that reached another incarnation than they were meant for. A worker that this leader hasn't heard may be another one than the
+// recorded.
+func (c *Controller) previousLease(w *worker) time.Duration {
+	lease := time.Duration(float64(c.options.Lease)/minClockRate) + leaseMargin
+	if w.confirmedAddress == "" {
+		return max(lease, c.maxLeaseSpan())
+	}
+	return lease
+}
+
 // grantLease records a lease that begins now and returns its end on the worker's clock, or 0 while that clock
 // is unknown.
 func (c *Controller) grantLease(now time.Duration, w *worker) int64 {
@@ -315,6 +330,9 @@
 		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs),
 			"clock_ms", response.ClockMS)
 	}
+	if w.strayLease && !w.polled {
+		w.unknownLeaseUntil = now + c.maxLeaseSpan()
+	}
 	w.polled = true
 	w.partial = response.Partial
 	w.confirmedAddress = w.Address
@@ -468,6 +486,7 @@
 func (c *Controller) tickWorkers(now time.Duration) {
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		c.updateUsable(now, w)
+		c.settle(now, w)
 		c.poll(w)
 		if w.hasOpenStart() {
 			c.pollAtOnce(w)
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	pj "papayajunction"
 )
@@ -16,6 +17,7 @@
 	Configure     *pj.Ruleset         `json:"configure,omitempty"`
 	Workers       []pj.PolledWorker   `json:"workers,omitempty"`
 	RemoveWorkers []WorkerIncarnation `json:"leave,omitempty"`
+	Settled       []WorkerIncarnation `json:"settled,omitempty"` // see State.Unsettled
 	Submit        *pj.Workflow        `json:"submit,omitempty"`
 	Cancel        string              `json:"cancel,omitempty"`
 	End           []RunEnd            `json:"end,omitempty"`
@@ -159,19 +161,23 @@
 
 // State is the replicated state.
 type State struct {
-	index   uint64
-	rules   pj.Ruleset
-	records map[string]*Record
-	workers map[string]pj.PolledWorker
-	waiting map[string]int // number of waiting workflows (see isWaiting), by queue
+	index     uint64
+	rules     pj.Ruleset
+	records   map[string]*Record
+	workers   map[string]pj.PolledWorker
+	unsettled map[string]int64 // incarnation, by worker; see Unsettled
+	removedAt map[string]int64 // Unix time in milliseconds, by removed worker
+	waiting   map[string]int   // number of waiting workflows (see isWaiting), by queue
 }
 
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		records: make(map[string]*Record),
-		workers: make(map[string]pj.PolledWorker),
-		waiting: make(map[string]int),
+		records:   make(map[string]*Record),
+		workers:   make(map[string]pj.PolledWorker),
+		unsettled: make(map[string]int64),
+		removedAt: make(map[string]int64),
+		waiting:   make(map[string]int),
 	}
 }
 
@@ -234,6 +240,13 @@
 	}
 }
 
+// Unsettled reports whether an earlier incarnation of a worker was known, and calls that were meant for it may have given the
+// current one a lease that ends later than any leader has in mind. The leader commits when that is over.
+func (s *State) Unsettled(id string) bool {
+	incarnation, ok := s.unsettled[id]
+	return ok && incarnation == s.workers[id].Incarnation
+}
+
 // WaitingWorkflows returns the number of workflows of a queue that are not known to have started. Ended workflows and
 // those with scheduled occurrences are not counted.
 func (s *State) WaitingWorkflows(queue string) int {
@@ -261,32 +274,45 @@
 		s.configure(c.Configure)
 		result.Version = s.rules.Version
 	}
+	s.applyWorkers(&c)
+	if c.Submit != nil {
+		s.submit(*c.Submit, &result)
+	}
+	if c.Cancel != "" {
+		result.Record = s.cancel(c.Cancel, c.At)
+	}
+	s.applyRuns(&c, &result)
+	for _, id := range c.Delete {
+		if r := s.records[id]; r != nil && r.State().Final() && r.liveRuns == 0 {
+			delete(s.records, id)
+		}
+	}
+	return result
+}
+
+func (s *State) applyWorkers(c *Command) {
 	for _, w := range c.Workers {
 		s.applyAnnouncement(w)
 	}
 	for _, incarnation := range c.RemoveWorkers {
 		if current, ok := s.workers[incarnation.ID]; ok && current.Incarnation <= incarnation.Incarnation {
-			delete(s.workers, incarnation.ID)
+			s.removeWorker(incarnation.ID, c.At)
 		}
 	}
-	if c.Submit != nil {
-		s.submit(*c.Submit, &result)
-	}
-	if c.Cancel != "" {
-		result.Record = s.cancel(c.Cancel, c.At)
+	for _, incarnation := range c.Settled {
+		if s.unsettled[incarnation.ID] == incarnation.Incarnation {
+			delete(s.unsettled, incarnation.ID)
+		}
 	}
+}
+
+func (s *State) applyRuns(c *Command, result *Result) {
 	for _, e := range c.End {
 		s.endRun(e, c.At)
 	}
 	for _, st := range c.Start {
 		result.Accepted = append(result.Accepted, s.startRun(st))
 	}
-	for _, id := range c.Delete {
-		if r := s.records[id]; r != nil && r.State().Final() && r.liveRuns == 0 {
-			delete(s.records, id)
-		}
-	}
-	return result
 }
 
 func (s *State) configure(rules *pj.Ruleset) {
@@ -303,9 +329,28 @@
 	if ok && (current.Incarnation > w.Incarnation || (current.Incarnation == w.Incarnation && current.Sequence >= w.Sequence)) {
 		return
 	}
+	_, removed := s.removedAt[w.ID]
+	delete(s.removedAt, w.ID)
+	if removed || ok && current.Incarnation < w.Incarnation {
+		s.unsettled[w.ID] = w.Incarnation
+	}
 	s.workers[w.ID] = w
 }
 
+// removalMemory is how long a removed worker is remembered: longer than calls that were sent to it may still be carried out.
+const removalMemory = time.Minute
+
+func (s *State) removeWorker(id string, at int64) {
+	delete(s.workers, id)
+	delete(s.unsettled, id)
+	for other, removedAt := range s.removedAt {
+		if removedAt < at-removalMemory.Milliseconds() {
+			delete(s.removedAt, other)
+		}
+	}
+	s.removedAt[id] = at
+}
+
 func (s *State) submit(w pj.Workflow, result *Result) {
 	if r := s.records[w.ID]; r != nil {
 		result.Record = r
@@ -462,15 +507,17 @@
 
 // snapshot is the JSON form of State.
 type snapshot struct {
-	Index   uint64            `json:"index"`
-	Rules   pj.Ruleset        `json:"rules"`
-	Records []*Record         `json:"records"`
-	Workers []pj.PolledWorker `json:"workers"`
+	Index     uint64            `json:"index"`
+	Rules     pj.Ruleset        `json:"rules"`
+	Records   []*Record         `json:"records"`
+	Workers   []pj.PolledWorker `json:"workers"`
+	Unsettled map[string]int64  `json:"unsettled,omitempty"`
+	RemovedAt map[string]int64  `json:"removed_at,omitempty"`
 }
 
 // Snapshot encodes the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	snap := snapshot{Index: s.index, Rules: s.rules}
+	snap := snapshot{Index: s.index, Rules: s.rules, Unsettled: s.unsettled, RemovedAt: s.removedAt}
 	s.Records(func(r *Record) { snap.Records = append(snap.Records, r) })
 	s.Workers(func(w pj.PolledWorker) { snap.Workers = append(snap.Workers, w) })
 	data, err := json.Marshal(snap)
@@ -505,5 +552,7 @@
 	for _, w := range snap.Workers {
 		s.workers[w.ID] = w
 	}
+	maps.Copy(s.unsettled, snap.Unsettled)
+	maps.Copy(s.removedAt, snap.RemovedAt)
 	return nil
 }
--- a/internal/control/workflow/state_test.go
+++ b/internal/control/workflow/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -192,6 +193,51 @@
 	f.is.True(ok) // the removal applies only to the earlier incarnation
 }
 
+// TestUnsettledWorkers: until the leader has committed that it is over, each leader must know that calls for an earlier incarnation may have
+// reached a worker's current one.
+func TestUnsettledWorkers(t *testing.T) {
+	announce := func(incarnation, sequence int64) workflow.Command {
+		return workflow.Command{Workers: []pj.PolledWorker{{ID: "w", Incarnation: incarnation, Sequence: sequence}}}
+	}
+	remove := func(incarnation int64, at time.Duration) workflow.Command {
+		return workflow.Command{RemoveWorkers: []workflow.WorkerIncarnation{{ID: "w", Incarnation: incarnation}}, At: at.Milliseconds()}
+	}
+	settled := func(incarnation int64) workflow.Command {
+		return workflow.Command{Settled: []workflow.WorkerIncarnation{{ID: "w", Incarnation: incarnation}}}
+	}
+	tests := map[string]struct {
+		commands  []workflow.Command
+		unsettled bool
+	}{
+		"never announced":              {},
+		"announced":                    {commands: []workflow.Command{announce(1, 1)}},
+		"announced again":              {commands: []workflow.Command{announce(1, 1), announce(1, 2)}},
+		"restarted":                    {commands: []workflow.Command{announce(1, 1), announce(2, 1)}, unsettled: true},
+		"restarted, announced again":   {commands: []workflow.Command{announce(1, 1), announce(2, 1), announce(2, 2)}, unsettled: true},
+		"a late announcement":          {commands: []workflow.Command{announce(2, 1), announce(1, 1)}},
+		"settled":                      {commands: []workflow.Command{announce(1, 1), announce(2, 1), settled(2)}},
+		"an earlier one is settled":    {commands: []workflow.Command{announce(1, 1), announce(2, 1), announce(3, 1), settled(2)}, unsettled: true},
+		"restarted and removed":        {commands: []workflow.Command{announce(1, 1), announce(2, 1), remove(2, time.Hour)}},
+		"removed, then restarted":      {commands: []workflow.Command{announce(1, 1), remove(1, time.Hour), announce(2, 1)}, unsettled: true},
+		"removed long ago":             {commands: []workflow.Command{announce(1, 1), remove(1, time.Hour), announce(2, 1), settled(2), remove(2, 3*time.Hour)}},
+		"removed, others removed long": {commands: []workflow.Command{announce(1, 1), remove(1, time.Hour), {Workers: []pj.PolledWorker{{ID: "v"}}}, {RemoveWorkers: []workflow.WorkerIncarnation{{ID: "v"}}, At: (2 * time.Hour).Milliseconds()}, announce(2, 1)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			for _, c := range test.commands {
+				f.apply(c)
+			}
+			f.is.Equal(f.state.Unsettled("w"), test.unsettled)
+			data, err := f.state.Snapshot()
+			f.is.NoErr(err)
+			restored := workflow.NewState()
+			f.is.NoErr(restored.Restore(data))
+			f.is.Equal(restored.Unsettled("w"), test.unsettled)
+		})
+	}
+}
+
 // TestRandomCommands applies random commands and checks that no task gets a second live run, that no run starts of a step
 // whose dependencies have not finished, and that a snapshot restores the same state.
 func TestRandomCommands(t *testing.T) {
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -51,10 +51,12 @@
 	// such guarantee.
 	MaxRulesDelay time.Duration
 	Retention     time.Duration // how long callers may ask for the status of workflows in a final state; 0 for the controller's default
-	WorkerClient  pj.WorkerClient
-	Advisor       pj.Advisor
-	Logger        Logger
-	Metrics       *metrics.Set
+	// Longest time, on a worker's own clock, for which it holds a lease whatever end an order sets; 0 for the controller's default.
+	MaxLease     time.Duration
+	WorkerClient pj.WorkerClient
+	Advisor      pj.Advisor
+	Logger       Logger
+	Metrics      *metrics.Set
 }
 
 // Logger writes log lines.
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -195,7 +195,7 @@
 		Term: term, State: r.state, Group: r.group, Clock: r.vm.clock,
 		UnixMilli: func() int64 { return time.Now().UnixMilli() },
 		Orders:    &orderSender{replica: r, relays: r.relays},
-		Events:    newEvents(r.vm), Retention: r.vm.options.Retention,
+		Events:    newEvents(r.vm), Retention: r.vm.options.Retention, MaxLease: r.vm.options.MaxLease,
 	})
 	r.controller.SetAdvisors(r.liveAdvisors(r.vm.clock.Now()))
 	r.vm.leaderClient.SetLeader(Group, r.vm.options.Address)
