Runs: an end as done is kept although the run counted as lost

Callers could see: a task that was done runs again.

Cause: a worker is out of reach until its lease is over; its run ended there as done before. The leader has committed the run as lost and queued the task. When the worker answers again, its end as done belongs to no live run, so it was acknowledged and thrown away, and the task started again, even in the same millisecond.

Change: the end is committed (Command.LateDone) before it is acknowledged, and finishes the task; a later run of it is stopped, and its failure doesn't count. Only ends as done: a repeated one changes nothing, while a failure that was recorded already would count twice.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -112,11 +112,12 @@
 
 // batch collects what the next command commits.
 type batch struct {
-	ends    []runEnd
-	acks    map[*worker]int64
-	starts  []*run
-	workers []announcement
-	settled []workflow.WorkerIncarnation
+	ends     []runEnd
+	lateDone []pj.RunID // runs that counted as ended otherwise, see workflow.Command
+	acks     map[*worker]int64
+	starts   []*run
+	workers  []announcement
+	settled  []workflow.WorkerIncarnation
 }
 
 type runEnd struct {
@@ -253,7 +254,7 @@
 
 func (c *Controller) commitBatch() {
 	b := c.batch
-	if len(b.ends)+len(b.starts)+len(b.workers)+len(b.settled) == 0 {
+	if len(b.ends)+len(b.lateDone)+len(b.starts)+len(b.workers)+len(b.settled) == 0 {
 		c.applyAcks(b.acks)
 		c.batch = batch{}
 		return
@@ -266,7 +267,7 @@
 	for _, v := range b.starts {
 		command.Start = append(command.Start, workflow.RunStart{RunID: v.id, Worker: v.worker.ID})
 	}
-	command.Settled = b.settled
+	command.Settled, command.LateDone = b.settled, b.lateDone
 	for _, a := range b.workers {
 		command.Workers = append(command.Workers, a.worker)
 	}
@@ -283,6 +284,9 @@
 		for _, e := range b.ends {
 			c.endCommitted(e)
 		}
+		for _, id := range b.lateDone {
+			c.lateDoneCommitted(id)
+		}
 		c.applyAcks(b.acks)
 		for i, v := range b.starts {
 			c.startCommitted(v, i < len(r.Accepted) && r.Accepted[i])
--- /dev/null
+++ b/internal/control/runs/stray_test.go
@@ -0,0 +1,80 @@
+package runs_test
+
+import (
+	"testing"
+	"time"
+
+	pj "papayajunction"
+)
+
+// loseRun makes the run of a start count as ended, because its worker answers nothing until its lease is over.
+func (x *cell) loseRun(start *order) {
+	start.answer(nil)
+	for range 100 {
+		x.advance(100 * time.Millisecond)
+		for _, o := range x.orders.take("poll") {
+			if o.worker == start.worker {
+				o.answerPoll(pj.PollResponse{}, errNoAnswer)
+				continue
+			}
+			o.answerPoll(x.listed(testIncarnation, 0, nil), nil)
+		}
+		x.flush()
+	}
+}
+
+// hear answers the polls, each with what its worker lists.
+func (x *cell) hear(listed map[string]pj.PollResponse) {
+	x.advance(300 * time.Millisecond)
+	x.answerPolls(listed)
+}
+
+// TestLateDoneIsKept guards against a task that runs again after it was done: the worker of a run was out of reach until that counted as
+// lost, and then listed its end as done. That was acknowledged and thrown away.
+func TestLateDoneIsKept(t *testing.T) {
+	tests := map[string]struct {
+		workers int
+		step    pj.Step
+		stops   int // of later runs
+	}{
+		"the task waits":                   {workers: 1, step: oneTask()},
+		"a later run is there":             {workers: 2, step: oneTask(), stops: 1},
+		"the gang waits":                   {workers: 1, step: pj.Step{Tasks: 2, Task: pj.NewResources(2, 2, 0, 0), Gang: true}},
+		"a later run of the gang is there": {workers: 2, step: pj.Step{Tasks: 2, Task: pj.NewResources(2, 2, 0, 0), Gang: true}, stops: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, test.workers)
+			x.submitWorkflow(pj.Workflow{
+				ID: "a", Queue: "q", Workspace: "team", Pool: "pool", Spec: "s", MaxAttempts: 2,
+				Steps: []pj.Step{test.step, {Tasks: 1, Task: pj.NewResources(1, 1, 0, 0), DependsOn: []int{0}}},
+			})
+			starts := x.orders.take("start")
+			for _, start := range starts[1:] {
+				start.answer(nil)
+			}
+			x.loseRun(starts[0])
+			later := x.orders.take("start")
+			x.is.Equal(len(later), test.stops)
+			for _, start := range later {
+				start.answer(nil)
+			}
+			x.orders.take("stop")
+			listed := map[string]pj.PollResponse{starts[0].worker: {Finished: []pj.EndedRun{{Number: 1, Run: starts[0].run, Outcome: pj.EndDone}}}}
+			for _, start := range later {
+				response := listed[start.worker]
+				response.Running = append(response.Running, pj.RunStatus{Run: start.run})
+				listed[start.worker] = response
+			}
+			x.hear(listed)
+			x.is.Equal(len(x.orders.take("stop")), test.stops)
+			next := x.orders.take("start")
+			x.is.Equal(len(next), 1) // of the step that depends on it
+			x.is.Equal(next[0].run.Task.Step, 1)
+			x.advance(100 * time.Millisecond)
+			next[0].answer(nil)
+			x.hear(map[string]pj.PollResponse{next[0].worker: {Finished: []pj.EndedRun{{Number: 2, Run: next[0].run, Outcome: pj.EndDone}}}})
+			x.is.Equal(x.state("a"), pj.WorkflowComplete)
+		})
+	}
+}
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -121,6 +121,7 @@
 	case ts.record.State().Final():
 		c.finishWorkflow(ts.record)
 		c.dropTaskSet(ts)
+	case ts.record.Step(ts.id).Tasks[index].Done:
 	case ts.spec.Gang || !ts.queued:
 		c.enqueue(ts)
 	default:
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -429,8 +429,11 @@
 		if v != nil && v.ending {
 			return
 		}
-		if v != nil {
+		switch {
+		case v != nil:
 			c.end(v, end.Outcome, end.Checkpoint)
+		case end.Outcome == pj.EndDone && c.unfinished(end.Run):
+			c.batch.lateDone = append(c.batch.lateDone, end.Run)
 		}
 		if end.Number > w.acked {
 			if c.batch.acks == nil {
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -20,6 +20,7 @@
 	Settled       []WorkerIncarnation `json:"settled,omitempty"` // see State.Unsettled
 	Submit        *pj.Workflow        `json:"submit,omitempty"`
 	Cancel        string              `json:"cancel,omitempty"`
+	LateDone      []pj.RunID          `json:"late_done,omitempty"` // runs that ended as done after another end was recorded, because their worker was out of reach
 	End           []RunEnd            `json:"end,omitempty"`
 	Start         []RunStart          `json:"start,omitempty"`
 	Delete        []string            `json:"forget,omitempty"`
@@ -307,6 +308,9 @@
 }
 
 func (s *State) applyRuns(c *Command, result *Result) {
+	for _, id := range c.LateDone {
+		s.finishLate(id, c.At)
+	}
 	for _, e := range c.End {
 		s.endRun(e, c.At)
 	}
@@ -449,6 +453,23 @@
 	s.finalise(r, at)
 }
 
+// finishLate marks a task as finished by a run of which another end was recorded before.
+func (s *State) finishLate(id pj.RunID, at int64) {
+	r := s.records[id.Task.Workflow]
+	if r == nil || r.State().Final() {
+		return
+	}
+	t := r.Task(id.Task)
+	if t == nil || t.Done || id.Run > t.LastRun || r.Workflow.Steps[id.Task.Step].LongRunning {
+		return
+	}
+	s.update(r, func() {
+		r.Started = true
+		s.finishTask(r, r.Step(id.Task.StepID), &r.Workflow.Steps[id.Task.Step], t)
+	})
+	s.finalise(r, at)
+}
+
 // applyOutcome updates the record, the step and the task with the outcome of a run.
 func (s *State) applyOutcome(r *Record, t *Task, e RunEnd) {
 	if e.Outcome != pj.EndWorkerLost && e.Outcome != pj.EndNotStarted {
@@ -462,7 +483,7 @@
 	switch {
 	case e.Outcome == pj.EndDone && !spec.LongRunning:
 		s.finishTask(r, step, spec, t)
-	case e.Outcome == pj.EndFailed && !spec.LongRunning:
+	case e.Outcome == pj.EndFailed && !spec.LongRunning && !t.Done:
 		s.recordFailure(r, step, spec, t, e)
 	}
 }
--- a/internal/control/workflow/state_test.go
+++ b/internal/control/workflow/state_test.go
@@ -43,6 +43,10 @@
 	f.apply(workflow.Command{End: []workflow.RunEnd{{RunID: id(step, index, run), Outcome: outcome, Checkpoint: checkpoint}}, At: 7})
 }
 
+func (f *fixture) lateDone(run pj.RunID) {
+	f.apply(workflow.Command{LateDone: []pj.RunID{run}, At: 7})
+}
+
 func id(step, index, run int) pj.RunID {
 	return pj.RunID{Task: pj.TaskID{StepID: pj.StepID{Workflow: "a", Step: step}, Index: index}, Run: run}
 }
@@ -128,6 +132,33 @@
 			f.end(0, 0, 1, pj.EndDone, "")
 			f.is.Equal(f.state.Record("a").LiveRuns(), 1)
 		}},
+		"an end as done after another end finishes the task": {workflow: steps(pj.Step{Tasks: 1}), state: pj.WorkflowComplete, run: func(f *fixture) {
+			f.is.True(f.start(0, 0, 1))
+			f.end(0, 0, 1, pj.EndWorkerLost, "")
+			f.lateDone(id(0, 0, 1))
+			f.is.True(!f.start(0, 0, 2))
+		}},
+		"an end as done after another end finishes the task of a later run": {workflow: steps(pj.Step{Tasks: 2}), state: pj.WorkflowRunning, run: func(f *fixture) {
+			f.is.True(f.start(0, 0, 1))
+			f.end(0, 0, 1, pj.EndWorkerLost, "")
+			f.is.True(f.start(0, 0, 2))
+			f.lateDone(id(0, 0, 1))
+			f.is.Equal(f.state.Record("a").LiveRuns(), 1)
+			f.end(0, 0, 2, pj.EndFailed, "")
+			f.is.Equal(f.state.Record("a").Task(id(0, 0, 2).Task).Failures, 0) // the task is done
+			f.is.True(!f.start(0, 0, 3))
+			f.is.True(f.start(0, 1, 1))
+		}},
+		"an end as done of a run that was never started is ignored": {workflow: steps(pj.Step{Tasks: 1}), state: pj.WorkflowQueued, run: func(f *fixture) {
+			f.lateDone(id(0, 0, 1))
+		}},
+		"an end as done of a long-running task changes nothing": {workflow: steps(pj.Step{Tasks: 1, LongRunning: true}), state: pj.WorkflowQueued, run: func(f *fixture) {
+			f.is.True(f.start(0, 0, 1))
+			f.end(0, 0, 1, pj.EndWorkerLost, "")
+			f.lateDone(id(0, 0, 1))
+			f.is.True(f.start(0, 0, 2))
+			f.end(0, 0, 2, pj.EndNotStarted, "")
+		}},
 		"a long-running task is restarted without limit": {workflow: steps(pj.Step{Tasks: 1, LongRunning: true}), state: pj.WorkflowRunning, run: func(f *fixture) {
 			for run := 1; run < 6; run++ {
 				f.is.True(f.start(0, 0, run))
