Runs: a task doesn't start while a worker lists a stray run of it

Callers could see: a task on two workers for as long as a stop takes.

Cause: a worker lists a run that counts as ended (a start that was carried out late, or a worker that was out of reach). The leader stopped it, and started the task elsewhere in the same pass.

Change: the task stays pending until the worker no longer lists the run, or has answered nothing until its lease is over.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -89,6 +89,7 @@
 	sortedWorkers []*worker // sorted by ID
 	taskSets      map[pj.StepID]*taskSet
 
+	strays            map[pj.TaskID]*worker // tasks of which a worker lists a run that counts as ended
 	byWorkflow        map[string][]*taskSet
 	byWorkspace       map[string]map[*run]struct{} // runs that hold capacity
 	submissions       inflight.Submissions
@@ -147,6 +148,7 @@
 		workers:    make(map[string]*worker),
 		taskSets:   make(map[pj.StepID]*taskSet),
 
+		strays:           make(map[pj.TaskID]*worker),
 		byWorkflow:       make(map[string][]*taskSet),
 		byWorkspace:      make(map[string]map[*run]struct{}),
 		unrecordedStarts: make(map[string]struct{}),
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -22,11 +22,15 @@
 	p := c.newPass(now)
 	for _, ts := range p.ranked() {
 		ts.runTime = c.expectedRunTime(ts)
-		if ts.spec.Gang {
-			p.scheduleGang(ts)
-		} else {
+		total := len(ts.pending)
+		putBack := c.holdStrays(ts)
+		switch {
+		case !ts.spec.Gang:
 			p.scheduleTasks(ts)
+		case len(ts.pending) == total:
+			p.scheduleGang(ts)
 		}
+		putBack()
 		if len(ts.pending) == 0 {
 			c.dequeue(ts)
 		}
--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -7,7 +7,17 @@
 	pj "papayajunction"
 )
 
-// A run that counts as ended may have ended as done: its worker was out of reach for longer than its lease.
+// A run that counts as ended may still be on a worker, or may have ended there as done: its start order was carried out late, or its
+// worker was out of reach for longer than its lease.
+
+// reportStray stops a run that a worker lists and that isn't recorded as live. Its task doesn't start while it is there.
+func (c *Controller) reportStray(w *worker, id pj.RunID) {
+	c.options.Events.Record("stray_run", "worker", w.ID, "run", id.Task, "number", id.Run)
+	c.options.Orders.Stop(w.PolledWorker, id, w.fence, func(int64, error) {})
+	if c.unfinished(id) {
+		c.strays[id.Task] = w
+	}
+}
 
 // unfinished reports whether a run is of a task that may have to run again.
 func (c *Controller) unfinished(id pj.RunID) bool {
@@ -19,6 +29,41 @@
 	return task != nil && !task.Done && id.Run <= task.LastRun
 }
 
+// clearStrays ends what reportStray keeps from starting because of a worker, but for the runs that are still listed there.
+func (c *Controller) clearStrays(w *worker, listed map[pj.RunID]struct{}) {
+	for task, at := range c.strays {
+		if at == w && !listsTask(listed, task) {
+			delete(c.strays, task)
+			c.dirty = true
+		}
+	}
+}
+
+func listsTask(listed map[pj.RunID]struct{}, task pj.TaskID) bool {
+	for id := range listed {
+		if id.Task == task {
+			return true
+		}
+	}
+	return false
+}
+
+// holdStrays takes the tasks with a stray run out of the pending ones, and returns the function that puts them back.
+func (c *Controller) holdStrays(ts *taskSet) (putBack func()) {
+	if len(c.strays) == 0 {
+		return func() {}
+	}
+	var held []int
+	ts.pending = slices.DeleteFunc(ts.pending, func(index int) bool {
+		_, stray := c.strays[pj.TaskID{StepID: ts.id, Index: index}]
+		if stray {
+			held = append(held, index)
+		}
+		return stray
+	})
+	return func() { ts.pending = append(ts.pending, held...) }
+}
+
 // lateDoneCommitted follows the commit of an end as done of a run that counted as ended otherwise: a later run of its task isn't needed.
 func (c *Controller) lateDoneCommitted(id pj.RunID) {
 	r := c.options.State.Record(id.Task.Workflow)
--- a/internal/control/runs/stray_test.go
+++ b/internal/control/runs/stray_test.go
@@ -78,3 +78,36 @@
 		})
 	}
 }
+
+// TestStrayRunKeepsItsTask guards against a task on two workers: a worker listed a run that counted as ended, and while that was being
+// stopped the task started again.
+func TestStrayRunKeepsItsTask(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	x.loseRun(start)
+	for range 3 {
+		x.hear(map[string]pj.PollResponse{"w0": {Running: []pj.RunStatus{{Run: start.run, Progress: 1}}}})
+		x.is.True(len(x.orders.take("stop")) > 0)
+		x.is.Equal(len(x.orders.take("start")), 0)
+	}
+	x.hear(map[string]pj.PollResponse{"w0": {Finished: []pj.EndedRun{{Number: 1, Run: start.run, Outcome: pj.EndStopped}}}})
+	again := x.orders.take("start")
+	x.is.Equal(len(again), 1)
+	x.is.Equal(again[0].run.Run, 2)
+}
+
+// TestStrayRunOfSilentWorker: work isn't kept waiting for a stray run that its worker no longer reports, once the worker's lease is over.
+func TestStrayRunOfSilentWorker(t *testing.T) {
+	x := newCell(t, 2)
+	step := pj.Step{Tasks: 1, Task: pj.NewResources(8, 8, 0, 0)}
+	x.submit("a", step)
+	first := x.orders.take("start")[0]
+	x.loseRun(first)
+	second := x.orders.take("start")[0]
+	second.answer(&pj.RefusedError{Reason: pj.RefusedNoCapacity}) // the task waits again
+	x.hear(map[string]pj.PollResponse{first.worker: {Running: []pj.RunStatus{{Run: first.run}}}})
+	x.is.Equal(len(x.orders.take("start")), 0)
+	x.loseRun(first)
+	x.is.Equal(len(x.orders.take("start")), 1)
+}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -406,6 +406,7 @@
 		listed[status.Run] = struct{}{}
 		c.reconcileRunning(now, w, status)
 	}
+	c.clearStrays(w, listed)
 	for i := range response.Finished {
 		listed[response.Finished[i].Run] = struct{}{}
 	}
@@ -447,8 +448,7 @@
 func (c *Controller) reconcileRunning(now time.Duration, w *worker, status *pj.RunStatus) {
 	v := w.runs[status.Run]
 	if v == nil {
-		c.options.Events.Record("stray_run", "worker", w.ID, "run", status.Run.Task, "number", status.Run.Run)
-		c.options.Orders.Stop(w.PolledWorker, status.Run, w.fence, func(int64, error) {})
+		c.reportStray(w, status.Run)
 		return
 	}
 	if v.resolvedAt == 0 || v.unconfirmed || !v.confirmed {
@@ -510,6 +510,7 @@
 			c.end(v, pj.EndWorkerLost, v.checkpoint)
 		}
 	}
+	c.clearStrays(w, nil)
 	if len(w.runs) == 0 && (w.leftAt != 0 || now > max(w.polledAt, w.knownSince)+removeAfter) {
 		if w.leftAt == 0 {
 			c.removeWorker(w, "silent", func(error) {})
