Runs: stray runs hold their task from the first answer on, and keep their worker from new tasks

Callers could see: a task on two workers, and too much on a worker.

Change: that answer's runs hold their tasks, too; nothing starts on a worker whose last answer lists a stray run.

TestStrayRunSeenWithRestart and TestStrayRunUsesCapacity fail without these lines.

--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -10,11 +10,18 @@
 // A run that counts as ended may still be on a worker, or may have ended there as done: its start order was carried out late, or its
 // worker was out of reach for longer than its lease.
 
-// reportStray stops a run that a worker lists and that isn't recorded as live. Its task doesn't start while it is there.
-func (c *Controller) reportStray(w *worker, id pj.RunID) {
+// stopStray stops a run that a worker lists and that isn't recorded as live. Until it has ended, no task starts on the worker, where it uses
+// capacity, and its own task starts nowhere.
+func (c *Controller) stopStray(w *worker, id pj.RunID) {
 	c.options.Events.Record("stray_run", "worker", w.ID, "run", id.Task, "number", id.Run)
 	c.options.Orders.Stop(w.PolledWorker, id, w.fence, func(int64, error) {})
-	if c.unfinished(id) {
+	w.strays++
+	c.holdStray(w, id)
+}
+
+// holdStray keeps the task of a stray run from starting until the worker no longer lists it.
+func (c *Controller) holdStray(w *worker, id pj.RunID) {
+	if w.runs[id] == nil && c.unfinished(id) {
 		c.strays[id.Task] = w
 	}
 }
@@ -29,7 +36,7 @@
 	return task != nil && !task.Done && id.Run <= task.LastRun
 }
 
-// clearStrays ends what reportStray keeps from starting because of a worker, but for the runs that are still listed there.
+// clearStrays ends what holdStray keeps from starting because of a worker, but for the runs that are still listed there.
 func (c *Controller) clearStrays(w *worker, listed map[pj.RunID]struct{}) {
 	for task, at := range c.strays {
 		if at == w && !listsTask(listed, task) {
--- a/internal/control/runs/stray_test.go
+++ b/internal/control/runs/stray_test.go
@@ -97,6 +97,50 @@
 	x.is.Equal(again[0].run.Run, 2)
 }
 
+// TestStrayRunSeenWithRestart guards against the same if the answer that shows a restart lists the run.
+func TestStrayRunSeenWithRestart(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	x.loseRun(start)
+	x.advance(300 * time.Millisecond)
+	for _, o := range x.orders.take("poll") {
+		o.answerPoll(x.listed(testIncarnation+1, time.Hour, []pj.RunStatus{{Run: start.run}}), nil)
+	}
+	x.is.NoErr(x.announce(testWorker("w1")))
+	for range 3 {
+		x.advance(100 * time.Millisecond)
+		x.answerPollsOf("w1")
+		x.is.Equal(len(x.orders.take("start")), 0)
+	}
+	x.advance(300 * time.Millisecond)
+	for _, o := range x.orders.take("poll") {
+		if o.worker == "w0" {
+			o.answerPoll(x.listed(testIncarnation+1, time.Hour, nil), nil)
+			continue
+		}
+		o.answerPoll(x.listed(testIncarnation, 0, nil), nil)
+	}
+	x.flush()
+	x.is.Equal(len(x.orders.take("start")), 1)
+}
+
+// TestStrayRunUsesCapacity guards against too much on a worker: a run that is being stopped there isn't in the accounts.
+func TestStrayRunUsesCapacity(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	x.loseRun(start)
+	x.hear(map[string]pj.PollResponse{"w0": {Running: []pj.RunStatus{{Run: start.run}}}})
+	x.submit("b", pj.Step{Tasks: 1, Task: pj.NewResources(8, 8, 0, 0)})
+	x.advance(300 * time.Millisecond)
+	x.is.Equal(len(x.orders.take("start")), 0)
+	for range 12 {
+		x.hear(nil)
+	}
+	x.is.True(len(x.orders.take("start")) > 0)
+}
+
 // TestStrayRunOfSilentWorker: work isn't kept waiting for a stray run that its worker no longer reports, once the worker's lease is over.
 func TestStrayRunOfSilentWorker(t *testing.T) {
 	x := newCell(t, 2)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -42,6 +42,7 @@
 	ackUnanswered bool   // a poll with an acknowledgement got no answer since the token was last raised
 	partial       bool   // its last answer listed only a part of its ends
 
+	strays         int           // runs in its last answer that aren't recorded as live; they use capacity until they are stopped
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
 	nextPollAtOnce time.Duration
 
@@ -192,7 +193,7 @@
 // schedulable reports whether new tasks may start on the worker. The runs of a draining worker stay there until it leaves.
 // A new incarnation may have other labels and another capacity, so it must have announced them.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.usable && w.described == w.Incarnation && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
+	return w.usable && w.described == w.Incarnation && w.strays == 0 && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
 }
 
 // minClockMS returns a lower bound of the worker's clock.
@@ -321,6 +322,9 @@
 	if response.Incarnation != 0 && response.Incarnation != w.Incarnation {
 		w.nextPollAt = now + pollRetryDelay
 		if c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
+			for i := range response.Running {
+				c.holdStray(w, response.Running[i].Run)
+			}
 			w.nextPollAt = now
 			c.poll(w) // with the raised token: before that, calls that were meant for the earlier incarnation may change what this one lists
 		}
@@ -400,6 +404,7 @@
 
 // reconcile compares the runs that the worker lists with those recorded.
 func (c *Controller) reconcile(now time.Duration, w *worker, sent time.Duration, fence uint64, response pj.PollResponse) {
+	w.strays = 0
 	listed := make(map[pj.RunID]struct{}, len(response.Running)+len(response.Finished))
 	for i := range response.Running {
 		status := &response.Running[i]
@@ -448,7 +453,7 @@
 func (c *Controller) reconcileRunning(now time.Duration, w *worker, status *pj.RunStatus) {
 	v := w.runs[status.Run]
 	if v == nil {
-		c.reportStray(w, status.Run)
+		c.stopStray(w, status.Run)
 		return
 	}
 	if v.resolvedAt == 0 || v.unconfirmed || !v.confirmed {
