Runs: stray runs are kept by task and worker, and charged to their workspace

Callers could see, beside stray runs: a task on two workers; a workspace above its limit; a service that is never started again; too few jobs counted as waiting.

Causes, all found by the reviewer of the fix, and each with a test that fails on the commit before: a task had one stray run, a second one overwrote it (TestStrayRunsOnTwoWorkers); the answer to a poll that was sent before the one that listed the run ended it (TestOvertakenAnswerKeepsStray); a start that was being committed was sent all the same (TestStrayRunSeenWhileStartIsCommitted); the workspace wasn't charged for the run (TestStrayRunHoldsCapacity); a late end as done of a long-running task took it out of the queue (TestLateDoneOfLongRunningTask), or left its workflow counted as an unrecorded start (TestWaitingAfterLateDone).

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -89,7 +89,7 @@
 	sortedWorkers []*worker // sorted by ID
 	taskSets      map[pj.StepID]*taskSet
 
-	strays            map[pj.TaskID]*worker // tasks of which a worker lists a run that counts as ended
+	strays            map[pj.TaskID][]*stray
 	byWorkflow        map[string][]*taskSet
 	byWorkspace       map[string]map[*run]struct{} // runs that hold capacity
 	submissions       inflight.Submissions
@@ -148,7 +148,7 @@
 		workers:    make(map[string]*worker),
 		taskSets:   make(map[pj.StepID]*taskSet),
 
-		strays:           make(map[pj.TaskID]*worker),
+		strays:           make(map[pj.TaskID][]*stray),
 		byWorkflow:       make(map[string][]*taskSet),
 		byWorkspace:      make(map[string]map[*run]struct{}),
 		unrecordedStarts: make(map[string]struct{}),
--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -57,7 +57,7 @@
 // restarted resets what the earlier incarnation of the worker has told and been told.
 func (c *Controller) restarted(now time.Duration, w *worker) {
 	w.acked, w.leaseEndMS, w.clockMS = 0, 0, 0
-	w.polled, w.ackUnanswered, w.partial, w.knownSince = false, false, false, now
+	w.polled, w.ackUnanswered, w.partial, w.strayAt, w.knownSince = false, false, false, 0, now
 	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
 	w.strayLease, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
 	for _, v := range w.runs {
--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -111,6 +111,7 @@
 			start.answer(nil)
 			unresponsive := start.worker
 			other := map[string]string{"w0": "w1", "w1": "w0"}[unresponsive]
+			x.hear(map[string]pj.PollResponse{unresponsive: {Running: []pj.RunStatus{{Run: start.run}}}})
 			for range 58 { // less than the lease of 6 s
 				x.advance(100 * time.Millisecond)
 				x.answerPollsOf(other)
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -89,7 +89,7 @@
 		return
 	}
 	v.phase = phaseCommitted
-	if v.stopReason != "" || v.taskSet.record.State().Final() || v.incarnation != v.worker.Incarnation {
+	if v.stopReason != "" || v.taskSet.record.State().Final() || v.incarnation != v.worker.Incarnation || len(c.strays[v.id.Task]) > 0 {
 		c.end(v, pj.EndNotStarted, "")
 		return
 	}
--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -3,27 +3,43 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	pj "papayajunction"
 )
 
-// A run that counts as ended may still be on a worker, or may have ended there as done: its start order was carried out late, or its
-// worker was out of reach for longer than its lease.
+// stray is a run that counts as ended and that a worker lists: its start order was carried out late, or its worker was out of reach for
+// longer than its lease. Until it has ended, its task doesn't start, its workspace is charged for it, and its worker gets no task.
+type stray struct {
+	worker    *worker
+	workspace string
+	amount    pj.Resources
+	listedAt  time.Duration // when the worker last listed it
+}
 
-// stopStray stops a run that a worker lists and that isn't recorded as live. Until it has ended, no task starts on the worker, where it uses
-// capacity, and its own task starts nowhere.
-func (c *Controller) stopStray(w *worker, id pj.RunID) {
+// stopStray stops a run that a worker lists and that isn't recorded as live.
+func (c *Controller) stopStray(now time.Duration, w *worker, id pj.RunID) {
 	c.options.Events.Record("stray_run", "worker", w.ID, "run", id.Task, "number", id.Run)
 	c.options.Orders.Stop(w.PolledWorker, id, w.fence, func(int64, error) {})
-	w.strays++
-	c.holdStray(w, id)
+	w.strayAt = max(now, 1)
+	c.holdStray(now, w, id)
 }
 
 // holdStray keeps the task of a stray run from starting until the worker no longer lists it.
-func (c *Controller) holdStray(w *worker, id pj.RunID) {
-	if w.runs[id] == nil && c.unfinished(id) {
-		c.strays[id.Task] = w
+func (c *Controller) holdStray(now time.Duration, w *worker, id pj.RunID) {
+	if w.runs[id] != nil || !c.unfinished(id) {
+		return
+	}
+	for _, s := range c.strays[id.Task] {
+		if s.worker == w {
+			s.listedAt = now
+			return
+		}
 	}
+	r := c.options.State.Record(id.Task.Workflow)
+	s := &stray{worker: w, workspace: r.Workflow.Workspace, amount: r.Workflow.Steps[id.Task.Step].Reservation(), listedAt: now}
+	c.strays[id.Task] = append(c.strays[id.Task], s)
+	c.ledger.Charge(s.workspace, s.amount)
 }
 
 // unfinished reports whether a run is of a task that may have to run again.
@@ -36,12 +52,21 @@
 	return task != nil && !task.Done && id.Run <= task.LastRun
 }
 
-// clearStrays ends what holdStray keeps from starting because of a worker, but for the runs that are still listed there.
-func (c *Controller) clearStrays(w *worker, listed map[pj.RunID]struct{}) {
-	for task, at := range c.strays {
-		if at == w && !listsTask(listed, task) {
+// clearStrays ends what holdStray keeps from starting because of a worker, but for tasks of which it still lists a run in its answer to a
+// poll that was sent at the given time.
+func (c *Controller) clearStrays(w *worker, sent time.Duration, listed map[pj.RunID]struct{}) {
+	for task, strays := range c.strays {
+		remaining := slices.DeleteFunc(strays, func(s *stray) bool {
+			gone := s.worker == w && sent >= s.listedAt && !listsTask(listed, task)
+			if gone {
+				c.ledger.Refund(s.workspace, s.amount)
+				c.dirty = true
+			}
+			return gone
+		})
+		c.strays[task] = remaining
+		if len(remaining) == 0 {
 			delete(c.strays, task)
-			c.dirty = true
 		}
 	}
 }
@@ -55,7 +80,7 @@
 	return false
 }
 
-// holdStrays takes the tasks with a stray run out of the pending ones, and returns the function that puts them back.
+// holdStrays takes the tasks with stray runs out of the pending ones, and returns the function that puts them back.
 func (c *Controller) holdStrays(ts *taskSet) (putBack func()) {
 	if len(c.strays) == 0 {
 		return func() {}
@@ -71,8 +96,15 @@
 	return func() { ts.pending = append(ts.pending, held...) }
 }
 
-// lateDoneCommitted follows the commit of an end as done of a run that counted as ended otherwise: a later run of its task isn't needed.
+// lateDone reports whether an end as done of a run that counted as ended otherwise finishes its task.
+func (c *Controller) lateDone(end *pj.EndedRun) bool {
+	return end.Outcome == pj.EndDone && c.unfinished(end.Run) &&
+		!c.options.State.Record(end.Run.Task.Workflow).Workflow.Steps[end.Run.Task.Step].LongRunning
+}
+
+// lateDoneCommitted follows the commit of such an end: a later run of its task isn't needed.
 func (c *Controller) lateDoneCommitted(id pj.RunID) {
+	delete(c.unrecordedStarts, id.Task.Workflow)
 	r := c.options.State.Record(id.Task.Workflow)
 	ts := c.taskSets[id.Task.StepID]
 	if r == nil || ts == nil {
@@ -93,7 +125,7 @@
 		c.finishWorkflow(r)
 	}
 	c.dropTaskSet(ts)
-	if r.Step(id.Task.StepID) != nil && r.Step(id.Task.StepID).Done() {
+	if step := r.Step(id.Task.StepID); step != nil && step.Done() {
 		c.enqueueDependents(r, id.Task.StepID)
 	}
 }
--- a/internal/control/runs/stray_test.go
+++ b/internal/control/runs/stray_test.go
@@ -7,9 +7,10 @@
 	pj "papayajunction"
 )
 
-// loseRun makes the run of a start count as ended, because its worker answers nothing until its lease is over.
+// loseRun makes the run of a start count as ended, because its worker lists it and then answers nothing until its lease is over.
 func (x *cell) loseRun(start *order) {
 	start.answer(nil)
+	x.hear(map[string]pj.PollResponse{start.worker: {Running: []pj.RunStatus{{Run: start.run}}}})
 	for range 100 {
 		x.advance(100 * time.Millisecond)
 		for _, o := range x.orders.take("poll") {
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -42,7 +42,7 @@
 	ackUnanswered bool   // a poll with an acknowledgement got no answer since the token was last raised
 	partial       bool   // its last answer listed only a part of its ends
 
-	strays         int           // runs in its last answer that aren't recorded as live; they use capacity until they are stopped
+	strayAt        time.Duration // when it last listed a stray run; 0 if it doesn't
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
 	nextPollAtOnce time.Duration
 
@@ -193,7 +193,7 @@
 // schedulable reports whether new tasks may start on the worker. The runs of a draining worker stay there until it leaves.
 // A new incarnation may have other labels and another capacity, so it must have announced them.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.usable && w.described == w.Incarnation && w.strays == 0 && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
+	return w.usable && w.described == w.Incarnation && w.strayAt == 0 && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
 }
 
 // minClockMS returns a lower bound of the worker's clock.
@@ -323,7 +323,7 @@
 		w.nextPollAt = now + pollRetryDelay
 		if c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
 			for i := range response.Running {
-				c.holdStray(w, response.Running[i].Run)
+				c.holdStray(now, w, response.Running[i].Run)
 			}
 			w.nextPollAt = now
 			c.poll(w) // with the raised token: before that, calls that were meant for the earlier incarnation may change what this one lists
@@ -404,14 +404,16 @@
 
 // reconcile compares the runs that the worker lists with those recorded.
 func (c *Controller) reconcile(now time.Duration, w *worker, sent time.Duration, fence uint64, response pj.PollResponse) {
-	w.strays = 0
+	if sent >= w.strayAt {
+		w.strayAt = 0
+	}
 	listed := make(map[pj.RunID]struct{}, len(response.Running)+len(response.Finished))
 	for i := range response.Running {
 		status := &response.Running[i]
 		listed[status.Run] = struct{}{}
 		c.reconcileRunning(now, w, status)
 	}
-	c.clearStrays(w, listed)
+	c.clearStrays(w, sent, listed)
 	for i := range response.Finished {
 		listed[response.Finished[i].Run] = struct{}{}
 	}
@@ -438,7 +440,7 @@
 		switch {
 		case v != nil:
 			c.end(v, end.Outcome, end.Checkpoint)
-		case end.Outcome == pj.EndDone && c.unfinished(end.Run):
+		case c.lateDone(end):
 			c.batch.lateDone = append(c.batch.lateDone, end.Run)
 		}
 		if end.Number > w.acked {
@@ -453,7 +455,7 @@
 func (c *Controller) reconcileRunning(now time.Duration, w *worker, status *pj.RunStatus) {
 	v := w.runs[status.Run]
 	if v == nil {
-		c.stopStray(w, status.Run)
+		c.stopStray(now, w, status.Run)
 		return
 	}
 	if v.resolvedAt == 0 || v.unconfirmed || !v.confirmed {
@@ -515,7 +517,7 @@
 			c.end(v, pj.EndWorkerLost, v.checkpoint)
 		}
 	}
-	c.clearStrays(w, nil)
+	c.clearStrays(w, now, nil)
 	if len(w.runs) == 0 && (w.leftAt != 0 || now > max(w.polledAt, w.knownSince)+removeAfter) {
 		if w.leftAt == 0 {
 			c.removeWorker(w, "silent", func(error) {})
