Runs: a start has a higher token than each acknowledgement in flight

Callers could see: a task that was done runs again.

Cause: the token was raised before a start only once an earlier poll with an acknowledgement was known to have no answer, up to 2.2 s after it was sent. Until then a restarted worker could carry out the start first, end the run, and then the acknowledgement.

Change: each such poll without an answer counts. A poll carries an acknowledgement only until one with that number was answered, so that most starts need no new token. The event fence_raised is gone, as it would come with many starts.

--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -1,8 +1,10 @@
 package runs
 
 import (
+	"errors"
 	"time"
 
+	pj "papayajunction"
 	"papayajunction/internal/control/workflow"
 )
 
@@ -15,7 +17,7 @@
 //   - The lease that such a call may have set is bounded by Options.MaxLease only, from the first of these answers on. Other leaders learn
 //     of it from workflow.State.Unsettled.
 //   - Ends are acknowledged only while the current incarnation has listed every run that was sent to the worker, as an answer to a start
-//     may be another's, and a start has a higher token than the acknowledgements without an answer before it. So an acknowledgement that the next incarnation
+//     may be another's, and a start has a higher token than each acknowledgement that has no answer yet. So an acknowledgement that the next incarnation
 //     receives can't cover ends there that nobody has read.
 
 // raiseFence raises a worker's fencing token: earlier calls have no effect once a later one has reached the worker.
@@ -25,25 +27,37 @@
 		return
 	}
 	c.fence++
-	w.fence = c.fence
-	c.options.Events.Record("fence_raised", "worker", w.ID, "born", w.Incarnation, "fence", w.fence, "term", c.options.Term)
+	w.fence, w.acksOpen = c.fence, 0
 }
 
 // startFence returns the fencing token of a start that is sent now.
 func (c *Controller) startFence(w *worker) uint64 {
-	if w.ackUnanswered {
-		w.ackUnanswered = false
+	if w.acksOpen > 0 {
 		c.raiseFence(w)
 	}
 	return w.fence
 }
 
+// acknowledged records that a poll was answered or refused.
+func (w *worker) acknowledged(request pj.PollRequest, err error) {
+	var refused *pj.RefusedError
+	if request.Ack == 0 || (err != nil && !errors.As(err, &refused)) {
+		return
+	}
+	if request.Fence == w.fence {
+		w.acksOpen--
+	}
+	if err == nil {
+		w.noted = max(w.noted, request.Ack)
+	}
+}
+
 // maxLeaseSpan returns the longest time that a lease lasts, whatever end a call has set.
 func (c *Controller) maxLeaseSpan() time.Duration {
 	return time.Duration(float64(c.options.MaxLease)/minClockRate) + leaseMargin
 }
 
-// ackFor returns the number up to which a poll acknowledges ends, or 0 for none. If a worker lists only a part of its ends, it must be told
+// ackFor returns the number up to which a poll acknowledges ends, or 0 for none that are new. If a worker lists only a part of its ends, it must be told
 // of these before it lists the others.
 func (w *worker) ackFor() int64 {
 	for _, v := range w.runs {
@@ -51,13 +65,16 @@
 			return 0
 		}
 	}
+	if w.acked <= w.noted {
+		return 0
+	}
 	return w.acked
 }
 
 // restarted resets what the earlier incarnation of the worker has told and been told.
 func (c *Controller) restarted(now time.Duration, w *worker) {
-	w.acked, w.leaseEndMS, w.clockMS = 0, 0, 0
-	w.polled, w.ackUnanswered, w.partial, w.strayAt, w.knownSince = false, false, false, 0, now
+	w.acked, w.noted, w.leaseEndMS, w.clockMS = 0, 0, 0, 0
+	w.polled, w.partial, w.strayAt, w.knownSince = false, false, 0, now
 	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
 	w.strayLease, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
 	for _, v := range w.runs {
--- a/internal/control/runs/late_calls_test.go
+++ b/internal/control/runs/late_calls_test.go
@@ -18,6 +18,22 @@
 	return map[string]string{"w0": "w1", "w1": "w0"}[worker]
 }
 
+// TestStartFollowsAcknowledgementInFlight is TestStartFollowsUnansweredAcknowledgement while it isn't known yet that the acknowledgement gets no answer.
+func TestStartFollowsAcknowledgementInFlight(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	first := x.orders.take("start")[0]
+	first.answer(nil)
+	x.advance(100 * time.Millisecond)
+	x.lastPoll().answerPoll(x.listed(testIncarnation, 0, nil, pj.EndedRun{Number: 1, Run: first.run, Outcome: pj.EndDone}), nil)
+	x.flush()
+	acknowledges := x.lastPoll()
+	x.is.Equal(acknowledges.poll.Ack, int64(1))
+	x.submit("b", oneTask())
+	second := x.orders.take("start")[0]
+	x.is.True(second.start.Fence > acknowledges.poll.Fence)
+}
+
 // TestStrayRunsOnTwoWorkers: a task waits for all its stray runs, not for the one that was listed last.
 func TestStrayRunsOnTwoWorkers(t *testing.T) {
 	for name, endsFirst := range map[string]int{"the first one ends": 0, "the second one ends": 1} {
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -38,9 +38,10 @@
 	polling       bool
 	pollingAtOnce bool // a poll that is answered at once is in flight
 
-	fence         uint64 // fencing token of calls to it
-	ackUnanswered bool   // a poll with an acknowledgement got no answer since the token was last raised
-	partial       bool   // its last answer listed only a part of its ends
+	fence    uint64 // fencing token of calls to it
+	acksOpen int    // polls with an acknowledgement and the current token that have no answer
+	noted    int64  // highest number that an answered poll has acknowledged
+	partial  bool   // its last answer listed only a part of its ends
 
 	strayAt        time.Duration // when it last listed a stray run; 0 if it doesn't
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
@@ -293,11 +294,15 @@
 // sendPoll sends a poll and handles its answer. inFlight is reset once the outcome is known.
 func (c *Controller) sendPoll(now time.Duration, w *worker, request pj.PollRequest, inFlight *bool) {
 	incarnation := w.Incarnation
+	if request.Ack > 0 {
+		w.acksOpen++
+	}
 	c.options.Orders.Poll(w.PolledWorker, request, func(response pj.PollResponse, err error) {
 		if c.closed || c.workers[w.ID] != w || w.Incarnation != incarnation {
 			return // the answer may be from an earlier incarnation
 		}
 		*inFlight = false
+		w.acknowledged(request, err)
 		if err != nil {
 			c.pollFailed(c.options.Clock.Now(), w, request, err)
 			return
@@ -355,7 +360,6 @@
 	var refused *pj.RefusedError
 	if !errors.As(err, &refused) || refused.Reason == pj.RefusedUnreachable {
 		w.unansweredAt = max(now, 1)
-		w.ackUnanswered = w.ackUnanswered || (request.Ack > 0 && refused == nil)
 		c.options.Events.Count("look_unanswered")
 		return
 	}
