Runs: a worker that is back under its id after it was removed gets a raised token

Callers could see: a task on two workers, or a task that was done runs again, after a worker has left and returned at once.

Cause: the leader forgot the worker with its removal; its next incarnation got the token of the calls that were sent to the former one.

--- a/internal/control/runs/late_calls_test.go
+++ b/internal/control/runs/late_calls_test.go
@@ -18,6 +18,23 @@
 	return map[string]string{"w0": "w1", "w1": "w0"}[worker]
 }
 
+// TestReturnedWorkerIsFenced: a worker that has left and is back under its id must refuse calls that were sent to it before. Else a start that was carried
+// out late runs beside its successor, and a late acknowledgement forgets ends that nobody has read.
+func TestReturnedWorkerIsFenced(t *testing.T) {
+	x := newCell(t, 1)
+	x.submit("a", oneTask())
+	start := x.orders.take("start")[0]
+	start.answer(errNoAnswer)
+	x.advance(100 * time.Millisecond)
+	x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Draining = true })))
+	x.c.Leave("w0", func(err error) { x.is.NoErr(err) })
+	x.advance(runs.DefaultMaxLease + time.Second) // the start may have reached the next incarnation already
+	x.is.Equal(x.c.WorkerCount(), 0)
+	x.orders.take("poll")
+	x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Incarnation = testIncarnation + 1 })))
+	x.is.True(x.lastPoll().poll.Fence > start.start.Fence)
+}
+
 // TestStartFollowsAcknowledgementInFlight is TestStartFollowsUnansweredAcknowledgement while it isn't known yet that the acknowledgement gets no answer.
 func TestStartFollowsAcknowledgementInFlight(t *testing.T) {
 	x := newCell(t, 1)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -151,6 +151,9 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info)
+		if w.strayLease {
+			c.raiseFence(w) // it was known before
+		}
 	} else if info.Incarnation >= w.Incarnation {
 		if info.Incarnation > w.Incarnation {
 			c.restarted(c.options.Clock.Now(), w)
