Runs: a run that its worker hasn't listed is lost only after the longest lease

Callers could see: a task on two workers, without a change of leader.

Cause: a worker restarts unnoticed, carries out a start that was meant for its former incarnation with the longest lease, by another clock, and falls silent. The leader counted the run as lost by the former clock, 6.2 s after the last lease that it had sent.

Change: a run of which no poll's answer has told waits for the longest lease.

Cost: a start that is sent to a worker just before that is lost starts elsewhere 4 s later where the bound of leases is 10 s.

--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -52,6 +52,12 @@
 	}
 }
 
+// mayRunElsewhere reports whether a run whose worker is silent may be on another incarnation than its start was meant for, with the longest
+// lease that one holds.
+func (c *Controller) mayRunElsewhere(now time.Duration, v *run) bool {
+	return v.fence != 0 && !v.confirmed && now < v.worker.grantedAt+c.maxLeaseSpan()
+}
+
 // maxLeaseSpan returns the longest time that a lease lasts, whatever end a call has set.
 func (c *Controller) maxLeaseSpan() time.Duration {
 	return time.Duration(float64(c.options.MaxLease)/minClockRate) + leaseMargin
--- a/internal/control/runs/late_calls_test.go
+++ b/internal/control/runs/late_calls_test.go
@@ -35,6 +35,69 @@
 	x.is.True(x.lastPoll().poll.Fence > start.start.Fence)
 }
 
+// TestUnlistedRunOfSilentWorker: a worker that restarted just before a start reached it holds the longest lease from when it carries the start out, as
+// the end was meant for another clock. If it is then silent, its run may not start elsewhere before that lease is over, whoever leads.
+func TestUnlistedRunOfSilentWorker(t *testing.T) {
+	tests := map[string]struct {
+		carriedOut time.Duration // after it was sent
+		change     func(x *cell, worker string)
+	}{
+		"the same leader":            {},
+		"the same leader, late call": {carriedOut: 3 * time.Second},
+		"the next leader":            {change: func(x *cell, _ string) { x.elect(runs.FencesPerTerm) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 2)
+			x.checkUnlistedRun(t, test.carriedOut, test.change)
+		})
+	}
+}
+
+// checkUnlistedRun checks that the run of an unanswered start, which a worker carries out a while after it was sent, doesn't start elsewhere before
+// the longest lease from then on is over.
+func (x *cell) checkUnlistedRun(t *testing.T, carriedOut time.Duration, change func(x *cell, worker string)) {
+	t.Helper()
+	const longest = 10 * time.Second // that a worker holds
+	x.submit("a", wholeWorker())
+	start := x.orders.take("start")[0]
+	start.answer(errNoAnswer)
+	sent := x.clock.now
+	if change != nil {
+		change(x, start.worker)
+	}
+	for x.clock.now < sent+carriedOut+longest {
+		x.advance(100 * time.Millisecond)
+		x.answerPollsOf(otherThan(start.worker))
+		if len(x.orders.take("start")) > 0 {
+			t.Fatalf("started elsewhere %s after the start was sent", x.clock.now-sent)
+		}
+	}
+}
+
+// TestLateStartOnUnknownIncarnation: the same if the worker carries the start out seconds after it was sent, on an incarnation that no leader has reached.
+func TestLateStartOnUnknownIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		carriedOut time.Duration // after it was sent
+		change     func(x *cell, worker string)
+	}{
+		"the next leader": {carriedOut: 3 * time.Second, change: func(x *cell, _ string) { x.elect(runs.FencesPerTerm) }},
+		"the restart is announced": {carriedOut: 6 * time.Second, change: func(x *cell, worker string) {
+			for range 25 {
+				x.advance(100 * time.Millisecond)
+				x.answerPollsOf(otherThan(worker))
+			}
+			x.is.NoErr(x.announce(announced(worker, func(w *pj.PolledWorker) { w.Incarnation = testIncarnation + 1 })))
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 2)
+			x.checkUnlistedRun(t, test.carriedOut, test.change)
+		})
+	}
+}
+
 // TestStartFollowsAcknowledgementInFlight is TestStartFollowsUnansweredAcknowledgement while it isn't known yet that the acknowledgement gets no answer.
 func TestStartFollowsAcknowledgementInFlight(t *testing.T) {
 	x := newCell(t, 1)
--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -125,6 +125,22 @@
 			x.is.Equal(len(again), 1)
 			x.is.Equal(again[0].worker, other)
 		},
+		"a run that an unresponsive worker has not listed runs elsewhere only after the longest lease": func(x *cell, start *order) {
+			start.answer(nil)
+			other := map[string]string{"w0": "w1", "w1": "w0"}[start.worker]
+			for range int(runs.DefaultMaxLease / (100 * time.Millisecond)) {
+				x.advance(100 * time.Millisecond)
+				x.answerPollsOf(other)
+				x.is.Equal(len(x.orders.take("start")), 0)
+			}
+			for range 30 {
+				x.advance(100 * time.Millisecond)
+				x.answerPollsOf(other)
+			}
+			again := x.orders.take("start")
+			x.is.Equal(len(again), 1)
+			x.is.Equal(again[0].worker, other)
+		},
 		"a worker that refused for lack of capacity receives no task for a while": func(x *cell, start *order) {
 			start.answer(&pj.RefusedError{Reason: pj.RefusedNoCapacity})
 			x.flush()
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -54,6 +54,7 @@
 	knownSince        time.Duration // when this leader learned of its incarnation
 	clockMS           int64         // lower bound of the worker's clock at clockReadAt; 0 while unknown
 	clockReadAt       time.Duration
+	grantedAt         time.Duration // when this leader last sent a lease end
 	leaseEndMS        int64         // latest lease end that this leader has sent, on the worker's clock
 	strayLease        bool          // a call that was meant for an earlier incarnation may have set its lease
 	unknownLeaseUntil time.Duration // until then, a lease that ends after leaseEndMS may be in force
@@ -247,7 +248,7 @@
 		return 0
 	}
 	end := w.minClockMS(now) + c.options.Lease.Milliseconds()
-	w.leaseEndMS = max(w.leaseEndMS, end)
+	w.leaseEndMS, w.grantedAt = max(w.leaseEndMS, end), now
 	return end
 }
 
@@ -518,7 +519,7 @@
 // evict commits the runs of a worker as lost, and removes the worker once it has none.
 func (c *Controller) evict(now time.Duration, w *worker) {
 	for _, v := range w.runs {
-		if v.phase == phaseCommitted && !v.ending {
+		if v.phase == phaseCommitted && !v.ending && !c.mayRunElsewhere(now, v) {
 			c.options.Events.Record("lease_over", "worker", w.ID, "run", v.id.Task, "number", v.id.Run,
 				"silent", now-w.polledAt, "until_ms", w.leaseEndMS, "clock_ms", w.minClockMS(now))
 			c.end(v, pj.EndWorkerLost, v.checkpoint)
