Runs: a worker that answers after its leave call hasn't exited

Callers could see: a task on two workers.

Cause: the runs of a worker counted as ended 0.4 s after its leave call, whether it had exited or not; the call names no incarnation, so it may be of its former life. Change: an answer to a poll that was sent after the call starts that time anew.

--- a/internal/control/runs/late_calls_test.go
+++ b/internal/control/runs/late_calls_test.go
@@ -316,6 +316,23 @@
 	x.is.Equal(x.c.WaitingWorkflows("q"), 1)
 }
 
+// TestLeftWorkerThatStillRuns: a worker that answers after its leave call, and lists its run, hasn't ended: the call may be of its former life, or the
+// process may end seconds later.
+func TestLeftWorkerThatStillRuns(t *testing.T) {
+	x := newCell(t, 2)
+	x.submit("a", wholeWorker())
+	start := x.orders.take("start")[0]
+	start.answer(nil)
+	x.advance(100 * time.Millisecond)
+	x.is.NoErr(x.announce(announced(start.worker, func(w *pj.PolledWorker) { w.Draining = true })))
+	x.c.Leave(start.worker, func(err error) { x.is.NoErr(err) })
+	for range 10 {
+		x.advance(100 * time.Millisecond)
+		x.answerPolls(map[string]pj.PollResponse{start.worker: {Running: []pj.RunStatus{{Run: start.run}}}})
+		x.is.Equal(len(x.orders.take("start")), 0)
+	}
+}
+
 // TestStrayRunAfterElection: the next leader knows of a stray run that the one before it was stopping.
 func TestStrayRunAfterElection(t *testing.T) {
 	x := newCell(t, 2)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -343,6 +343,9 @@
 		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs),
 			"clock_ms", response.ClockMS)
 	}
+	if w.leftAt != 0 && sent > w.leftAt {
+		w.leftAt = now // it hasn't exited
+	}
 	if w.strayLease && !w.polled {
 		w.unknownLeaseUntil = now + c.maxLeaseSpan()
 	}
