Workers: a reply names the report that it answers

Seen by callers: a task of a cancelled job runs (again), and a task may run on two workers, if a reply to a worker's report comes late or reaches the worker's next life.

Cause: WorkerReportReply didn't say what it answers, so that a worker took whatever arrived on the connection as the reply to its last report. A start in a reply to an earlier report was carried out after the stop of that attempt had been reported and acknowledged; a lease was counted from the sending of a later report than the leader counted with; a reply to a former incarnation was carried out by the next one.

Change: the reply has incarnation and sequence. The worker acts only on the first reply to its last report. A report that is overtaken by a newer one of its worker is answered with a conflict, since nobody waits for its reply; the acknowledgements go with the next reply.

The testbed's hosts report as real workers do (when the last report was answered or has timed out, or a task has ended), and keep replies to former agents in flight.

--- a/internal/control/coordinator/testbed_test.go
+++ b/internal/control/coordinator/testbed_test.go
@@ -43,14 +43,18 @@
 	rack        string
 	incarnation int
 	clockRate   float64
-	paused      bool // neither the agent nor its tasks make progress
-	partitioned bool // its tasks continue, but no message reaches it or leaves it
-	replies     []delayedReply
+	paused      bool                   // neither the agent nor its tasks make progress
+	partitioned bool                   // its tasks continue, but no message reaches it or leaves it
+	replies     []pj.WorkerReportReply // in flight, also those to reports of former agents
+	pending     pendingReport
 }
 
-type delayedReply struct {
-	sent  time.Duration // when the report was sent, by the host's clock
-	reply pj.WorkerReportReply
+// pendingReport is the last report of a host.
+type pendingReport struct {
+	leader   *coordinator.Coordinator
+	sentAt   time.Duration // by the testbed's clock
+	running  int           // tasks
+	answered bool
 }
 
 // testbed runs a cell's leader and stand-in workers on a virtual clock.
@@ -124,7 +128,7 @@
 // restart gives the host a new agent, which has no record of earlier tasks.
 func (b *testbed) restart(h *host) {
 	h.incarnation++
-	h.replies = nil
+	h.pending = pendingReport{}
 	h.agent = worker.New(worker.Options{
 		Name: h.name, Zone: "z", Rack: h.rack, Incarnation: fmt.Sprint(h.incarnation), Capacity: b.capacity,
 		TaskRunTime: 3 * time.Second, Usage: b.usage, FailRate: b.failRate, Random: func() float64 { return 0.5 },
@@ -175,23 +179,35 @@
 	if h.paused || h.partitioned {
 		return
 	}
-	sent := b.localTime(h)
-	agent := h.agent
-	b.leader.Report(agent.Report(sent), func(reply pj.WorkerReportReply, err error) {
-		if err == nil && agent == h.agent {
-			h.replies = append(h.replies, delayedReply{sent: sent, reply: reply})
+	pending := pendingReport{leader: b.leader, sentAt: b.now, running: len(h.agent.Running())}
+	h.pending = pending
+	b.leader.Report(h.agent.Report(b.localTime(h)), func(reply pj.WorkerReportReply, err error) {
+		if h.pending == pending {
+			h.pending.answered = true
+		}
+		if err == nil {
+			h.replies = append(h.replies, reply)
 		}
 	})
 }
 
+// reportDue reports whether the host's agent would send a report now: the last one was answered, can't be answered any
+// more or has timed out, or a task has ended since.
+func (b *testbed) reportDue(h *host) bool {
+	const reportTimeout = 3500 * time.Millisecond
+	p := h.pending
+	h.agent.Tick(b.localTime(h))
+	return p.answered || p.leader != b.leader || b.now >= p.sentAt+reportTimeout || len(h.agent.Running()) != p.running
+}
+
 // deliver passes the reply at index i to the host.
 func (b *testbed) deliver(h *host, i int) {
 	if h.paused || h.partitioned || i >= len(h.replies) {
 		return
 	}
-	r := h.replies[i]
+	reply := h.replies[i]
 	h.replies = slices.Delete(h.replies, i, i+1)
-	h.agent.Handle(b.localTime(h), r.sent, r.reply)
+	h.agent.Handle(b.localTime(h), reply)
 }
 
 // run advances the clock by span without new faults: every step ticks the leader, completes commits
@@ -203,7 +219,9 @@
 		b.leader.Tick()
 		b.commit()
 		for _, h := range b.hosts {
-			b.report(h)
+			if !h.paused && b.reportDue(h) {
+				b.report(h)
+			}
 			b.commit()
 			for len(h.replies) > 0 && !h.paused && !h.partitioned {
 				b.deliver(h, 0)
--- a/internal/control/coordinator/workers.go
+++ b/internal/control/coordinator/workers.go
@@ -78,7 +78,7 @@
 	}
 	if !c.acceptIncarnation(now, w, r) {
 		// The earlier incarnation may still run tasks: no lease and no work until its lease has expired.
-		reply(pj.WorkerReportReply{Term: c.options.Term}, nil)
+		reply(pj.WorkerReportReply{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: c.options.Term}, nil)
 		return
 	}
 	if w.reported && r.Sequence <= w.sequence {
@@ -86,9 +86,7 @@
 		return
 	}
 	w.sequence = r.Sequence
-	if w.heldReply != nil {
-		c.sendReportReply(now, w)
-	}
+	w.sendHeldReply(pj.WorkerReportReply{}, supersededError(w.name)) // the worker waits for the reply to this report only
 	c.updateWorker(now, w, r)
 	c.reconcileTasks(now, w, r)
 	w.heldReply = reply
@@ -99,6 +97,10 @@
 	c.Schedule()
 }
 
+func supersededError(worker string) *pj.Error {
+	return pj.Refuse(pj.CodeConflict, "worker %s has sent a later report", worker)
+}
+
 func checkReport(r pj.WorkerReport, zone string) *pj.Error {
 	switch {
 	case r.Worker == "" || r.Incarnation == "":
@@ -356,7 +358,10 @@
 // buildReportReply builds the reply to a worker's report and renews the worker's lease. Actions are repeated
 // until a report shows their effect; all of them are idempotent.
 func (c *Coordinator) buildReportReply(now time.Duration, w *workerView) pj.WorkerReportReply {
-	reply := pj.WorkerReportReply{Term: c.options.Term, LeaseMS: TaskLease.Milliseconds(), Acknowledged: w.acks}
+	reply := pj.WorkerReportReply{
+		Incarnation: w.incarnation, Sequence: w.sequence,
+		Term: c.options.Term, LeaseMS: TaskLease.Milliseconds(), Acknowledged: w.acks,
+	}
 	w.leaseUntil = now + taskLeaseExpiry
 	for _, v := range w.attempts {
 		switch {
--- a/internal/standin/worker/run.go
+++ b/internal/standin/worker/run.go
@@ -18,8 +18,7 @@
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
 	for ctx.Err() == nil {
-		sent := now()
-		report := w.Report(sent)
+		report := w.Report(now())
 		replied := make(chan struct{})
 		requestCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		interruptDone := w.interrupt(requestCtx, cancel, now, replied)
@@ -28,7 +27,7 @@
 		<-interruptDone
 		cancel()
 		if err == nil {
-			w.Handle(now(), sent, reply)
+			w.Handle(now(), reply)
 			client.Prefer(reply.NextEntry)
 		}
 		delay := reportDelay
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -36,7 +36,9 @@
 type Worker struct {
 	options            Options
 	term               uint64
-	sequence           uint64
+	sequence           uint64        // of the last report
+	sentAt             time.Duration // when the last report was sent
+	awaiting           bool          // the last report has not been answered
 	leaseUntil         time.Duration
 	tasks              map[pj.AttemptID]*task
 	stoppedBeforeStart map[pj.AttemptID]struct{} // until acknowledged; a later start of them is ignored
@@ -70,10 +72,12 @@
 	w.draining = true
 }
 
-// Report returns the next report.
+// Report returns the next report, which must be sent at once. Replies to earlier reports are ignored from now on.
 func (w *Worker) Report(now time.Duration) pj.WorkerReport {
 	w.Tick(now)
 	w.sequence++
+	w.sentAt = now
+	w.awaiting = true
 	r := pj.WorkerReport{
 		Worker: w.options.Name, Zone: w.options.Zone, Rack: w.options.Rack, Incarnation: w.options.Incarnation,
 		Sequence: w.sequence, Term: w.term, Capacity: w.options.Capacity, Draining: w.draining,
@@ -105,15 +109,16 @@
 	return report
 }
 
-// Handle processes the reply to the report that was sent at the given time. It ignores a reply of an older term.
-func (w *Worker) Handle(now, sent time.Duration, reply pj.WorkerReportReply) {
+// Handle processes a reply. It ignores one of an older term, and one that doesn't answer the last report.
+func (w *Worker) Handle(now time.Duration, reply pj.WorkerReportReply) {
 	w.Tick(now)
-	if reply.Term < w.term {
+	if !w.awaiting || reply.Incarnation != w.options.Incarnation || reply.Sequence != w.sequence || reply.Term < w.term {
 		return
 	}
+	w.awaiting = false
 	w.term = reply.Term
 	if reply.LeaseMS > 0 {
-		w.leaseUntil = max(w.leaseUntil, sent+time.Duration(reply.LeaseMS)*time.Millisecond)
+		w.leaseUntil = max(w.leaseUntil, w.sentAt+time.Duration(reply.LeaseMS)*time.Millisecond)
 	}
 	for _, id := range reply.Acknowledged {
 		delete(w.stoppedBeforeStart, id)
--- a/worker.go
+++ b/worker.go
@@ -69,7 +69,12 @@
 
 // WorkerReportReply is the reply to a worker's report. The worker may run its tasks for LeaseMS milliseconds,
 // counted from when it sent the report; it stops reporting the tasks in Acknowledged.
+//
+// Incarnation and Sequence name the report that is answered. A worker ignores a reply that names another report than the
+// last one it sent, and a second reply to that one: leases, actions and acknowledgements hold for the answered report only.
 type WorkerReportReply struct {
+	Incarnation  string      `json:"incarnation"`
+	Sequence     uint64      `json:"sequence"`
 	Term         uint64      `json:"term"`
 	LeaseMS      int64       `json:"lease_ms"`
 	NextEntry    string      `json:"entry,omitempty"` // address of the entry VM that the next report should go to, as it leads the cell
