Workers: a delayed report of a former incarnation has no effect

Seen by callers: after a worker's restart, jobs start up to 9 s late, and jobs that may not be repeated fail as "outcome unknown" although they never ran, if a report that the worker's former life sent arrives late.

Cause: incarnations of reporting workers have no order, and the leader took any report as a sign that its sender is alive. A delayed report of a former incarnation took the worker's name over again (acceptIncarnation), made a new leader know the worker by it, renewed the lease of an incarnation that was to be replaced, and was given starts that nobody carries out; the present incarnation then waited until a lease had expired that nobody held. No task ran twice: the leader waited too long, not too short.

Change: a report counts if it names the leader's term and isn't the first report of its incarnation at this leader; only the receiver of a reply can send that. Until then it is answered at once with the term, without lease and actions, as a second incarnation always was, so old workers understand it. Of two such incarnations the one whose first report came later is the present one; the other one is refused, renews no lease, and its held report is answered with a conflict instead of a lease.

Before (go test ./internal/control/coordinator -run TestLateReport): 6 of 7 cases fail, "starting != finished" and "no worker has 2 cores, 2 GiB free": no_lease_is_renewed_by_it, no_lease_is_renewed_by_it_at_a_new_leader, after_the_present_incarnation_has_reported, the_first_report_that_a_new_leader_gets, to_a_new_leader,_after_the_present_incarnation_has_reported, two_of_them_to_a_new_leader. The seventh, while the present incarnation runs a task, passed before. TestRandomFailures now delays reports, too; it passed with the fault as well.

--- a/internal/control/coordinator/invariant_test.go
+++ b/internal/control/coordinator/invariant_test.go
@@ -261,7 +261,7 @@
 		jobs := 0
 		for range rapid.IntRange(30, 150).Draw(rt, "steps") {
 			h := b.hosts[rapid.IntRange(0, 3).Draw(rt, "host")]
-			switch rapid.IntRange(0, 11).Draw(rt, "step") {
+			switch rapid.IntRange(0, 13).Draw(rt, "step") {
 			case 0, 1:
 				jobs++
 				j := job(fmt.Sprint("job", jobs), rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "workspace"))
@@ -290,6 +290,10 @@
 				b.restart(h)
 			case 11:
 				b.elect()
+			case 12:
+				b.delayReport(h)
+			case 13:
+				b.sendDelayedReport(h, rapid.IntRange(0, 3).Draw(rt, "report"))
 			}
 			if violation := b.violation(); violation != "" {
 				rt.Fatal(violation)
--- a/internal/control/coordinator/late_test.go
+++ b/internal/control/coordinator/late_test.go
@@ -53,3 +53,100 @@
 		})
 	}
 }
+
+// TestLateReport guards against taking a delayed report of a former incarnation for a sign that it is alive. The report may
+// be the only one that a new leader has of the worker, or arrive after reports of the present incarnation.
+func TestLateReport(t *testing.T) {
+	long := pj.Job{ID: "z.one", Workspace: "a", RunTime: pj.Duration(time.Minute), Repeatable: true}
+	once := pj.Job{ID: "z.once", Workspace: "a", RunTime: pj.Duration(time.Second)} // not repeatable
+	captured := func(b *testbed, h *host) pj.WorkerReport { return h.agent.Report(b.localTime(h)) }
+	send := func(b *testbed, r pj.WorkerReport) (reply pj.WorkerReportReply) {
+		b.leader.Report(r, func(got pj.WorkerReportReply, _ error) { reply = got })
+		b.commit()
+		return reply
+	}
+	tests := map[string]struct {
+		run func(b *testbed, h *host)
+	}{
+		"after the present incarnation has reported": {run: func(b *testbed, h *host) {
+			late := captured(b, h)
+			b.restart(h)
+			b.run(time.Second)
+			send(b, late)
+			b.submit(once)
+			b.run(2 * time.Second)
+		}},
+		"while the present incarnation runs a task": {run: func(b *testbed, h *host) {
+			late := captured(b, h)
+			b.restart(h)
+			b.run(time.Second)
+			b.submit(once)
+			b.run(500 * time.Millisecond)
+			send(b, late)
+			b.run(1500 * time.Millisecond)
+		}},
+		"the first report that a new leader gets": {run: func(b *testbed, h *host) {
+			late := captured(b, h)
+			b.elect()
+			b.restart(h)
+			send(b, late)
+			b.submit(once)
+			b.run(2 * time.Second)
+		}},
+		"to a new leader, after the present incarnation has reported": {run: func(b *testbed, h *host) {
+			late := captured(b, h)
+			b.elect()
+			b.restart(h)
+			b.run(time.Second)
+			send(b, late)
+			b.submit(once)
+			b.run(2 * time.Second)
+		}},
+		"two of them to a new leader": {run: func(b *testbed, h *host) {
+			late, later := captured(b, h), captured(b, h)
+			b.elect()
+			b.restart(h)
+			send(b, late)
+			b.run(time.Second)
+			send(b, later)
+			b.submit(once)
+			b.run(2 * time.Second)
+		}},
+		"no lease is renewed by it": {run: func(b *testbed, h *host) {
+			b.submit(long)
+			b.run(time.Second)
+			late, later := captured(b, h), captured(b, h)
+			b.restart(h)
+			b.run(4 * time.Second)
+			send(b, late)
+			b.run(4 * time.Second)
+			send(b, later)
+			b.run(time.Second) // 9 s after the last lease
+			b.submit(once)
+			b.run(2 * time.Second)
+		}},
+		"no lease is renewed by it at a new leader": {run: func(b *testbed, h *host) {
+			b.submit(long)
+			b.run(time.Second)
+			late := captured(b, h)
+			b.elect()
+			b.restart(h)
+			b.run(4 * time.Second)
+			send(b, late)
+			b.run(5 * time.Second)
+			b.submit(once)
+			b.run(2 * time.Second)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(1)
+			b.run(time.Second)
+			test.run(b, b.hosts[0])
+			requireInvariants(t, b)
+			is.Equal(b.status("z.once").Reason, "")
+			is.Equal(b.status("z.once").State, pj.JobFinished)
+		})
+	}
+}
--- a/internal/control/coordinator/testbed_test.go
+++ b/internal/control/coordinator/testbed_test.go
@@ -46,6 +46,7 @@
 	paused      bool                   // neither the agent nor its tasks make progress
 	partitioned bool                   // its tasks continue, but no message reaches it or leaves it
 	replies     []pj.WorkerReportReply // in flight, also those to reports of former agents
+	delayed     []pj.WorkerReport      // sent but not received yet, also those of former agents
 	pending     pendingReport
 }
 
@@ -191,6 +192,27 @@
 	})
 }
 
+// delayReport makes the host's agent send a report that the leader receives later or never.
+func (b *testbed) delayReport(h *host) {
+	if !h.paused && !h.partitioned {
+		h.delayed = append(h.delayed, h.agent.Report(b.localTime(h)))
+	}
+}
+
+// sendDelayedReport passes the delayed report at index i to the present leader.
+func (b *testbed) sendDelayedReport(h *host, i int) {
+	if h.partitioned || i >= len(h.delayed) {
+		return
+	}
+	r := h.delayed[i]
+	h.delayed = slices.Delete(h.delayed, i, i+1)
+	b.leader.Report(r, func(reply pj.WorkerReportReply, err error) {
+		if err == nil {
+			h.replies = append(h.replies, reply)
+		}
+	})
+}
+
 // reportDue reports whether the host's agent would send a report now: the last one was answered, can't be answered any
 // more or has timed out, or a task has ended since.
 func (b *testbed) reportDue(h *host) bool {
--- a/internal/control/coordinator/workers.go
+++ b/internal/control/coordinator/workers.go
@@ -19,7 +19,8 @@
 	lastReport      time.Duration // when the last report was received
 	sequence        uint64        // of the last report
 	draining        bool
-	nextIncarnation string // incarnation that reported while the lease of the earlier one was still valid
+	contacts        []contact
+	nextIncarnation string // incarnation that is to replace the present one when the lease of that has expired
 	attempts        map[pj.AttemptID]*attemptView
 	acks            []pj.AttemptID // ends to acknowledge in the next reply
 	state           string         // as shown to operators; new tasks start only on a worker whose state is "working"
@@ -29,6 +30,31 @@
 	hasUpdate bool // there is something new for the worker, so the reply must not be held
 }
 
+// contact is the first report of an incarnation that this leader received.
+type contact struct {
+	incarnation string
+	sequence    uint64
+}
+
+// unknownContact is the position of an incarnation that has not reported to this leader.
+const unknownContact = -1
+
+// contactPosition returns the position of an incarnation in contacts, or unknownContact.
+func (w *workerView) contactPosition(incarnation string) int {
+	return slices.IndexFunc(w.contacts, func(c contact) bool { return c.incarnation == incarnation })
+}
+
+// isCurrent reports whether a report was certainly sent after its incarnation had received a reply of this leader. The first
+// report of an incarnation, and one that doesn't name the leader's term, may have been delayed until its sender was gone.
+func (w *workerView) isCurrent(r pj.WorkerReport, term uint64) bool {
+	position := w.contactPosition(r.Incarnation)
+	if position == unknownContact {
+		w.contacts = append(w.contacts, contact{incarnation: r.Incarnation, sequence: r.Sequence})
+		return false
+	}
+	return r.Term == term && r.Sequence > w.contacts[position].sequence
+}
+
 // attemptView is the leader's view of an attempt that is recorded as live. record is nil for an orphan:
 // a task that the worker reports but that isn't recorded as live on it.
 type attemptView struct {
@@ -73,12 +99,22 @@
 	now := c.options.Clock.Now()
 	w := c.workers[r.Worker]
 	if w == nil {
-		w = &workerView{name: r.Worker, incarnation: r.Incarnation, attempts: make(map[pj.AttemptID]*attemptView)}
+		w = &workerView{name: r.Worker, lastReport: now, attempts: make(map[pj.AttemptID]*attemptView), state: "expected"}
 		c.workers[r.Worker] = w
 	}
+	// Without a lease and without work: the report proves no more than that the worker may be alive, or the earlier
+	// incarnation may still run tasks.
+	termOnly := pj.WorkerReportReply{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: c.options.Term}
+	if !w.isCurrent(r, c.options.Term) {
+		reply(termOnly, nil)
+		return
+	}
+	if w.isFormer(r.Incarnation) {
+		reply(pj.WorkerReportReply{}, pj.Refuse(pj.CodeConflict, "another incarnation of worker %s has taken its place", r.Worker))
+		return
+	}
 	if !c.acceptIncarnation(now, w, r) {
-		// The earlier incarnation may still run tasks: no lease and no work until its lease has expired.
-		reply(pj.WorkerReportReply{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: c.options.Term}, nil)
+		reply(termOnly, nil)
 		return
 	}
 	if w.reported && r.Sequence <= w.sequence {
@@ -113,15 +149,25 @@
 	return nil
 }
 
-// acceptIncarnation reports whether the reporting incarnation may replace the current one. It may
-// once the current one has no attempts left or its lease has certainly expired.
+// isFormer reports whether a later incarnation of the worker has replaced the given one or is about to.
+func (w *workerView) isFormer(incarnation string) bool {
+	latest := w.incarnation
+	if w.nextIncarnation != "" {
+		latest = w.nextIncarnation
+	}
+	return incarnation != latest && (incarnation == w.incarnation || w.contactPosition(incarnation) < w.contactPosition(latest))
+}
+
+// acceptIncarnation reports whether the reporting incarnation, which is not a former one, may act now. It may replace the
+// earlier one once that has no attempts left or its lease has certainly expired; until then no lease is renewed.
 func (c *Coordinator) acceptIncarnation(now time.Duration, w *workerView, r pj.WorkerReport) bool {
 	if w.incarnation == r.Incarnation {
 		return true
 	}
+	w.sendHeldReply(pj.WorkerReportReply{}, supersededError(w.name))
 	if len(w.attempts) > 0 && now < w.leaseUntil {
 		w.nextIncarnation = r.Incarnation
-		c.scheduler.SetUsable(w.name, false)
+		c.updateState(now, w)
 		return false
 	}
 	for _, v := range w.attempts {
--- a/worker.go
+++ b/worker.go
@@ -31,7 +31,8 @@
 //
 // Incarnation changes when the worker restarts; a new incarnation has no earlier task. Term is the
 // highest term of the cell's leader that the worker has received. Sequence grows with each report of
-// an incarnation, so that a report that arrives after a later one can be recognised as stale.
+// an incarnation, so that a report that arrives after a later one can be recognised as stale. A leader grants a
+// lease only in reply to a report that names its term and isn't the first one that it received from the incarnation.
 type WorkerReport struct {
 	Worker      string       `json:"worker"`
 	Zone        string       `json:"zone"`
