Workers: a start for a former incarnation isn't sent to the next

Seen by callers: a task that may not be repeated can run twice after a worker's restart.

Cause: the leader's attempts belonged to a worker's name. A start whose commit took longer than the lease, or whose end could not be committed, was sent to the incarnation that had taken the name meanwhile, although it is recorded for the former one, which may have run it.

Change: an attempt keeps the incarnation for which it was decided. No action for a former one is sent, its end is committed once the lease of that incarnation has expired, and tried again with each report until it succeeds.

The testbed checks at every step that no task runs on another incarnation than the recorded one.

Before: TestStartForFormerIncarnation/its_commit_takes_longer_than_the_lease, /the_commit_of_its_end_fails: "z.one/0/1 runs on w0/2, recorded for w0/1"; again with isForFormer returning false.

--- a/internal/control/coordinator/coordinator.go
+++ b/internal/control/coordinator/coordinator.go
@@ -141,7 +141,7 @@
 			w = c.expectWorker(now, t.LiveAttempt)
 		}
 		id := pj.AttemptID{Job: r.Job.ID, Task: i, Number: t.AttemptCount}
-		c.attempts[id] = &attemptView{id: id, record: r, worker: w, since: now, startSent: true}
+		c.attempts[id] = &attemptView{id: id, record: r, worker: w, incarnation: t.LiveAttempt.Incarnation, since: now, startSent: true}
 		w.attempts[id] = c.attempts[id]
 		c.scheduler.Adopt(pj.RunningTask{
 			Job: &r.Job, Task: i, Worker: w.name, Reservation: t.LiveAttempt.Reservation, Started: now,
@@ -231,7 +231,7 @@
 	w := c.workers[st.Worker]
 	id := pj.AttemptID{Job: st.Job, Task: st.Task, Number: r.Tasks[st.Task].AttemptCount + 1}
 	c.attempts[id] = &attemptView{
-		id: id, record: r, worker: w, since: now, proposed: true,
+		id: id, record: r, worker: w, incarnation: w.incarnation, since: now, proposed: true,
 	}
 	w.attempts[id] = c.attempts[id]
 	return cell.StartAttempt{
@@ -258,6 +258,10 @@
 	}
 	v.proposed = false
 	c.options.Events.TaskStarted(&v.record.Job, st)
+	if v.isForFormer() {
+		c.endFormerAttempt(v)
+		return
+	}
 	if v.record.Stopping() {
 		v.pendingVerb = pj.VerbStop
 	}
--- a/internal/control/coordinator/late_test.go
+++ b/internal/control/coordinator/late_test.go
@@ -150,3 +150,56 @@
 		})
 	}
 }
+
+// TestStartForFormerIncarnation guards against sending a start that was decided for one incarnation of a worker to the next.
+// The former one may have run the task.
+func TestStartForFormerIncarnation(t *testing.T) {
+	// restart replaces the host's agent, and lets the lease of the former one expire while nothing is committed.
+	restart := func(b *testbed, h *host) {
+		b.restart(h)
+		for range 2 * maxLease / time.Second {
+			b.now += time.Second
+			b.leader.Tick()
+			b.report(h)
+			if last := len(h.replies) - 1; last >= 0 {
+				b.deliver(h, last)
+			}
+		}
+	}
+	tests := map[string]func(b *testbed, h *host){
+		"its commit takes longer than the lease": func(b *testbed, h *host) {
+			restart(b, h)
+			b.commit()
+		},
+		"the commit of its end fails": func(b *testbed, h *host) {
+			b.commit() // the reply with the start is lost
+			restart(b, h)
+			b.group.serving = false
+			b.commit()
+			b.group.serving = true
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(1)
+			b.run(time.Second)
+			b.leader.Submit(pj.Job{
+				ID: "z.one", Workspace: "a", Kind: pj.KindBatch, Tasks: 1, MaxAttempts: 3, Repeatable: true,
+				Task: pj.NewResources(2, 2, 0, 0), RunTime: pj.Duration(time.Second),
+			}, func(pj.JobStatus, error) {})
+			submission := b.group.queue[0]
+			b.group.queue = b.group.queue[1:]
+			submission()
+			is.Equal(len(b.group.queue), 1) // the start
+			h := b.hosts[0]
+			test(b, h)
+			for range 60 {
+				b.run(100 * time.Millisecond)
+				requireInvariants(t, b)
+			}
+			is.Equal(b.status("z.one").State, pj.JobFinished)
+			is.Equal(b.status("z.one").Tasks[0].Attempts, 2)
+		})
+	}
+}
--- a/internal/control/coordinator/testbed_test.go
+++ b/internal/control/coordinator/testbed_test.go
@@ -312,7 +312,14 @@
 			return fmt.Sprintf("worker %s has %v reserved at %v", h.name, h.agent.Reserved(), b.now)
 		}
 		for _, id := range h.agent.Running() {
-			if r := b.state.Job(id.Job); r != nil {
+			r := b.state.Job(id.Job)
+			if r != nil && r.Tasks[id.Task].LiveAttempt != nil {
+				live := r.Tasks[id.Task].LiveAttempt
+				if live.Number == id.Number && (live.Worker != h.name || live.Incarnation != fmt.Sprint(h.incarnation)) {
+					return fmt.Sprintf("%v runs on %s/%d, recorded for %s/%s, at %v", id, h.name, h.incarnation, live.Worker, live.Incarnation, b.now)
+				}
+			}
+			if r != nil {
 				usage[r.Job.Workspace] = usage[r.Job.Workspace].Add(r.Job.Task)
 			}
 		}
--- a/internal/control/coordinator/workers.go
+++ b/internal/control/coordinator/workers.go
@@ -61,6 +61,7 @@
 	id              pj.AttemptID
 	record          *cell.Record
 	worker          *workerView
+	incarnation     string        // of the worker, for which the start was decided
 	since           time.Duration // when it was proposed, adopted or first reported as running
 	proposed        bool          // the start is not committed yet, so it must not be sent to a worker
 	startSent       bool          // the start may have been sent to the worker
@@ -71,6 +72,11 @@
 	peak            pj.Resources // peak of the reported usage
 }
 
+// isForFormer reports whether another incarnation of the worker has replaced the one for which the attempt was decided.
+func (v *attemptView) isForFormer() bool {
+	return v.incarnation != v.worker.incarnation
+}
+
 // expectWorker adds a worker that has recorded attempts but hasn't reported to this leader yet. It is
 // unusable until it reports.
 func (c *Coordinator) expectWorker(now time.Duration, live *cell.Attempt) *workerView {
@@ -171,7 +177,7 @@
 		return false
 	}
 	for _, v := range w.attempts {
-		c.endAttempt(v, cell.EndAttempt{Attempt: v.id, Phase: pj.PhaseStopped, Reason: "the worker restarted"}, true)
+		c.endFormerAttempt(v)
 	}
 	w.incarnation = r.Incarnation
 	w.nextIncarnation = ""
@@ -179,6 +185,11 @@
 	return true
 }
 
+// endFormerAttempt ends an attempt for a former incarnation, whose lease has certainly expired.
+func (c *Coordinator) endFormerAttempt(v *attemptView) {
+	c.endAttempt(v, cell.EndAttempt{Attempt: v.id, Phase: pj.PhaseStopped, Reason: "the worker restarted"}, true)
+}
+
 func (c *Coordinator) updateWorker(now time.Duration, w *workerView, r pj.WorkerReport) {
 	if !w.reported || w.capacity != r.Capacity || w.rack != r.Rack {
 		c.options.Events.WorkerChanged(w.name, "reporting", r.Capacity.String())
@@ -229,7 +240,11 @@
 		}
 	}
 	for id, v := range w.attempts {
-		if _, ok := seen[id]; !ok && v.running && !v.ending {
+		_, ok := seen[id]
+		switch {
+		case v.isForFormer(): // and its end could not be committed yet
+			c.endFormerAttempt(v)
+		case !ok && v.running && !v.ending:
 			// The task ran and is missing from the report although its end was never acknowledged.
 			c.endAttempt(v, cell.EndAttempt{Attempt: id, Phase: pj.PhaseStopped, Reason: "the worker lost the task"}, true)
 		}
@@ -247,7 +262,7 @@
 		return
 	}
 	w.hasUpdate = true
-	w.attempts[t.Attempt] = &attemptView{id: t.Attempt, worker: w, pendingVerb: pj.VerbStop, running: true}
+	w.attempts[t.Attempt] = &attemptView{id: t.Attempt, worker: w, incarnation: w.incarnation, pendingVerb: pj.VerbStop, running: true}
 }
 
 func (c *Coordinator) taskRunning(now time.Duration, v *attemptView, t pj.TaskReport) {
@@ -394,7 +409,7 @@
 
 func (c *Coordinator) hasActions(w *workerView) bool {
 	for _, v := range w.attempts {
-		if !v.proposed && !v.ending && (!v.running || v.pendingVerb != "") {
+		if !v.proposed && !v.ending && !v.isForFormer() && (!v.running || v.pendingVerb != "") {
 			return true
 		}
 	}
@@ -411,7 +426,7 @@
 	w.leaseUntil = now + taskLeaseExpiry
 	for _, v := range w.attempts {
 		switch {
-		case v.proposed || v.ending:
+		case v.proposed || v.ending || v.isForFormer():
 		case v.pendingVerb != "":
 			reply.Actions = append(reply.Actions, pj.Action{Verb: v.pendingVerb, Attempt: v.id})
 		case !v.running:
