Peer: the response to another call isn't taken for the response to this one

Seen by callers: possible only if something between two VMs hands on a response late: a request sent to an endpoint after its grant has ended, so that the endpoint has more requests than slots; a withdrawn key accepted for longer than 3 s; the answer about another job.

Cause: what a VM's call gets (grants, confirmations of configuration and keys, allotments) counts from when the call was sent, but a response didn't say to which call it belongs; that it did rested on the connection, and on the connection ending with the process.

Change: each call has an id that no other call has, also not one of the same VM's former process; the response repeats it (HTTP header Papaya-Call-Id), and a response with another id is an error, as if the response had been lost. VMs of earlier versions send no id and are still understood. Both daemons use it.

`go test ./internal/server/...` and `go test -race ./internal/server/peer` passed with the change.

--- a/internal/server/peer/service.go
+++ b/internal/server/peer/service.go
@@ -18,6 +18,9 @@
 // maxMessageBytes limits the size of one message between VMs; snapshots are the largest.
 const maxMessageBytes = 64 << 20
 
+// HeaderCallID is the HTTP header that identifies a call; the response to it has the same value.
+const HeaderCallID = "Papaya-Call-Id"
+
 // minCompressedReplyBytes is the minimum size of a reply that is compressed. Preparing a compressor clears more memory
 // than a shorter reply has bytes.
 const minCompressedReplyBytes = 16 << 10
@@ -109,5 +112,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(response), nil
+	answer := connect.NewResponse(response)
+	if id := r.Header().Get(HeaderCallID); id != "" {
+		answer.Header().Set(HeaderCallID, id)
+	}
+	return answer, nil
 }
--- a/internal/server/peer/transport.go
+++ b/internal/server/peer/transport.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,6 +31,8 @@
 	tls     *tls.Config
 	traffic *Traffic
 	ctx     context.Context //nolint:containedctx // ends the links
+	process string          // differs between transports, also between those of one VM
+	calls   atomic.Uint64   // number of calls so far
 	mu      sync.Mutex
 	links   map[string]*link
 }
@@ -44,7 +49,7 @@
 func NewTransport(self string, address func(vm string) (string, bool), tlsConfig *tls.Config, traffic *Traffic) (*Transport, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		self: self, address: address, tls: tlsConfig, traffic: traffic, ctx: ctx, links: make(map[string]*link),
+		self: self, address: address, tls: tlsConfig, traffic: traffic, ctx: ctx, process: rand.Text(), links: make(map[string]*link),
 	}, cancel
 }
 
@@ -136,7 +141,8 @@
 	}
 }
 
-// Call runs an operation on another VM. The result is decoded into result.
+// Call runs an operation on another VM. The result is decoded into result. What a result grants counts from when the call
+// was sent, so the response to another call, perhaps one of this VM's former process, is an error.
 func (t *Transport) Call(ctx context.Context, vm, operation string, argument, result any) error {
 	l := t.link(vm)
 	if l == nil {
@@ -146,12 +152,17 @@
 	if err != nil {
 		return fmt.Errorf("encode argument of %s: %w", operation, err)
 	}
-	response, err := l.client.Call(ctx, connect.NewRequest(&peerpb.CallRequest{
-		FromVm: t.self, Operation: operation, Body: body,
-	}))
+	request := connect.NewRequest(&peerpb.CallRequest{FromVm: t.self, Operation: operation, Body: body})
+	id := t.process + "-" + strconv.FormatUint(t.calls.Add(1), 36)
+	request.Header().Set(HeaderCallID, id)
+	response, err := l.client.Call(ctx, request)
 	if err != nil {
 		return fmt.Errorf("call %s on VM %s: %w", operation, vm, err)
 	}
+	// VMs of earlier versions name no call.
+	if answered := response.Header().Get(HeaderCallID); answered != "" && answered != id {
+		return fmt.Errorf("call %s on VM %s: the response is to another call", operation, vm)
+	}
 	return decodeResponse(operation, response.Msg, result)
 }
 
