Endpoints: a delayed announcement of an endpoint has no effect

Seen by callers: requests are sent to an endpoint that is draining, or to the address of its former life; and an endpoint may get more requests than it has slots after a change of leader.

Cause: announcements named neither the endpoint's incarnation nor their order, and what a new leader takes from them, how many requests of the former leader are still in flight, was believed because the announcement *arrived* after the last grant of that leader had ended. One that was sent before, and was delayed, counts too few. A delayed one replaced a newer one.

Change: announcements carry incarnation, sequence and the highest term that the endpoint has received; replies name the term only once all grants of earlier leaders have expired, so that an announcement that names it was sent after that. What tells present from former incarnations is the same as for workers and moves to internal/control/incarnation. After an election an endpoint is used one announcement later than before.

--- a/internal/control/coordinator/late_test.go
+++ b/internal/control/coordinator/late_test.go
@@ -203,3 +203,37 @@
 		})
 	}
 }
+
+// TestAnnouncementNamesTerm checks that an endpoint is told the leader's term only once grants of the former leader have
+// expired, and gets requests only after it has announced itself with that term.
+func TestAnnouncementNamesTerm(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(1)
+	b.config.Queues["q"] = pj.Queue{Name: "q", Workspace: "a", Kind: pj.KindRequest, MaxWaiting: 10}
+	var sequence uint64
+	announce := func(term uint64) (reply pj.EndpointAnnouncementReply, held bool) {
+		sequence++
+		held = true
+		b.leader.Announce(pj.EndpointAnnouncement{
+			Endpoint: "e", Address: "127.0.0.1:1", Zone: "z", Queues: []string{"*"}, Slots: 8, TTLMS: 3000,
+			Incarnation: "i", Sequence: sequence, Term: term,
+		}, func(got pj.EndpointAnnouncementReply, err error) {
+			is.NoErr(err)
+			reply, held = got, false
+		})
+		return reply, held
+	}
+	granted := false
+	b.leader.Grant(pj.GrantRequest{Request: "r", Queue: "q", WaitMS: 5000}, func(pj.Grant, error) { granted = true })
+	reply, held := announce(0)
+	is.Equal(reply.Term, uint64(0))
+	is.True(!held && reply.RenewWithinMS > 0)
+	b.run(time.Second)
+	reply, held = announce(0)
+	is.Equal(reply.Term, b.term)
+	is.True(!held && reply.RenewWithinMS == 0)
+	is.True(!granted)
+	_, held = announce(b.term)
+	is.True(held)
+	is.True(granted)
+}
--- a/internal/control/coordinator/requests.go
+++ b/internal/control/coordinator/requests.go
@@ -56,8 +56,13 @@
 		delete(c.heldAnnouncements, an.Endpoint)
 		held.reply(pj.EndpointAnnouncementReply{}, nil)
 	}
+	term := c.slotTable.Term(now)
 	if err != nil || (an.Draining && !drained) || !reconciled {
-		reply(pj.EndpointAnnouncementReply{RenewWithinMS: announceRetry.Milliseconds()}, err)
+		renew := announceRetry
+		if an.Incarnation != "" && an.Term < term {
+			renew = 0 // the next announcement names the term
+		}
+		reply(pj.EndpointAnnouncementReply{Term: term, RenewWithinMS: renew.Milliseconds()}, err)
 		return
 	}
 	hold := min(maxAnnounceHold, time.Duration(an.TTLMS)*time.Millisecond/3)
--- a/internal/control/coordinator/workers.go
+++ b/internal/control/coordinator/workers.go
@@ -6,6 +6,7 @@
 
 	pj "papayajunction"
 	"papayajunction/internal/control/cell"
+	"papayajunction/internal/control/incarnation"
 )
 
 // workerView is the leader's view of a worker.
@@ -19,7 +20,7 @@
 	lastReport      time.Duration // when the last report was received
 	sequence        uint64        // of the last report
 	draining        bool
-	contacts        []contact
+	contacts        incarnation.Contacts
 	nextIncarnation string // incarnation that is to replace the present one when the lease of that has expired
 	attempts        map[pj.AttemptID]*attemptView
 	acks            []pj.AttemptID // ends to acknowledge in the next reply
@@ -30,31 +31,6 @@
 	hasUpdate bool // there is something new for the worker, so the reply must not be held
 }
 
-// contact is the first report of an incarnation that this leader received.
-type contact struct {
-	incarnation string
-	sequence    uint64
-}
-
-// unknownContact is the position of an incarnation that has not reported to this leader.
-const unknownContact = -1
-
-// contactPosition returns the position of an incarnation in contacts, or unknownContact.
-func (w *workerView) contactPosition(incarnation string) int {
-	return slices.IndexFunc(w.contacts, func(c contact) bool { return c.incarnation == incarnation })
-}
-
-// isCurrent reports whether a report was certainly sent after its incarnation had received a reply of this leader. The first
-// report of an incarnation, and one that doesn't name the leader's term, may have been delayed until its sender was gone.
-func (w *workerView) isCurrent(r pj.WorkerReport, term uint64) bool {
-	position := w.contactPosition(r.Incarnation)
-	if position == unknownContact {
-		w.contacts = append(w.contacts, contact{incarnation: r.Incarnation, sequence: r.Sequence})
-		return false
-	}
-	return r.Term == term && r.Sequence > w.contacts[position].sequence
-}
-
 // attemptView is the leader's view of an attempt that is recorded as live. record is nil for an orphan:
 // a task that the worker reports but that isn't recorded as live on it.
 type attemptView struct {
@@ -111,7 +87,8 @@
 	// Without a lease and without work: the report proves no more than that the worker may be alive, or the earlier
 	// incarnation may still run tasks.
 	termOnly := pj.WorkerReportReply{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: c.options.Term}
-	if !w.isCurrent(r, c.options.Term) {
+	message := incarnation.Message{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: r.Term}
+	if !w.contacts.IsCurrent(message, c.options.Term) {
 		reply(termOnly, nil)
 		return
 	}
@@ -156,12 +133,12 @@
 }
 
 // isFormer reports whether a later incarnation of the worker has replaced the given one or is about to.
-func (w *workerView) isFormer(incarnation string) bool {
+func (w *workerView) isFormer(name string) bool {
 	latest := w.incarnation
 	if w.nextIncarnation != "" {
 		latest = w.nextIncarnation
 	}
-	return incarnation != latest && (incarnation == w.incarnation || w.contactPosition(incarnation) < w.contactPosition(latest))
+	return name != latest && (name == w.incarnation || w.contacts.Precedes(name, latest))
 }
 
 // acceptIncarnation reports whether the reporting incarnation, which is not a former one, may act now. It may replace the
--- a/internal/control/slots/endpoints.go
+++ b/internal/control/slots/endpoints.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/incarnation"
 )
 
 // Announce processes an endpoint's announcement. reconciled reports that no request granted by an
@@ -21,17 +22,57 @@
 		t.endpointNames = append(t.endpointNames, a.Endpoint)
 		slices.Sort(t.endpointNames)
 	}
+	current, err := t.isCurrent(now, e, a)
+	if err != nil {
+		return false, err
+	}
+	if !current && e.inheritedKnown {
+		return false, nil // the endpoint has sent one that was current
+	}
 	e.announcement = a
 	e.queues = make(map[string]struct{}, len(a.Queues))
 	for _, q := range a.Queues {
 		e.queues[q] = struct{}{}
 	}
 	e.expiresAt = now + min(time.Duration(a.TTLMS)*time.Millisecond, MaxTTL)
-	t.countInherited(now, e)
+	if current {
+		t.countInherited(now, e)
+	}
 	t.GrantWaiting(now)
 	return e.inheritedKnown && e.inherited == 0, nil
 }
 
+// isCurrent reports whether an announcement was certainly sent after all grants of earlier leaders had expired, by the present
+// incarnation of the endpoint. Until an endpoint has sent one, its announcements say only that it exists. An overtaken
+// announcement is an error. Endpoints of earlier versions don't name their incarnation; each announcement of them counts.
+func (t *Table) isCurrent(now time.Duration, e *endpoint, a pj.EndpointAnnouncement) (bool, error) {
+	if a.Incarnation == "" {
+		return true, nil
+	}
+	m := incarnation.Message{Incarnation: a.Incarnation, Sequence: a.Sequence, Term: a.Term}
+	if now < t.fenceUntil || !e.contacts.IsCurrent(m, t.term) {
+		return false, nil
+	}
+	if a.Incarnation == e.incarnation && a.Sequence <= e.sequence {
+		return false, pj.Refuse(pj.CodeConflict, "endpoint %s has sent a later announcement", a.Endpoint)
+	}
+	if e.contacts.Precedes(a.Incarnation, e.incarnation) {
+		return false, pj.Refuse(pj.CodeConflict, "another incarnation of endpoint %s has taken its place", a.Endpoint)
+	}
+	e.incarnation = a.Incarnation
+	e.sequence = a.Sequence
+	return true, nil
+}
+
+// Term returns the term that replies to announcements name, or 0 while grants of earlier leaders may be used: an announcement
+// that names the term was sent after they had expired.
+func (t *Table) Term(now time.Duration) uint64 {
+	if now < t.fenceUntil {
+		return 0
+	}
+	return t.term
+}
+
 // countInherited counts the requests granted by earlier leaders that are still in flight on an endpoint. An
 // announcement from before the last of these grants expired is ignored, because such a grant could
 // still be used after it.
--- a/internal/control/slots/slots.go
+++ b/internal/control/slots/slots.go
@@ -11,6 +11,7 @@
 
 	pj "papayajunction"
 	"papayajunction/internal/control/fairness"
+	"papayajunction/internal/control/incarnation"
 )
 
 // Times and limits of grants, endpoint ejection and admission.
@@ -50,6 +51,9 @@
 
 type endpoint struct {
 	announcement   pj.EndpointAnnouncement
+	contacts       incarnation.Contacts
+	incarnation    string // of the last current announcement, or ""
+	sequence       uint64 // of that announcement
 	queues         map[string]struct{}
 	expiresAt      time.Duration
 	used           int
--- a/internal/control/slots/slots_test.go
+++ b/internal/control/slots/slots_test.go
@@ -265,3 +265,96 @@
 	is.Equal(b.granted("e1"), 0) // ejected after three failures
 	is.Equal(b.granted("e2"), 2)
 }
+
+// TestLateAnnouncement guards against an announcement that was delayed: an endpoint must not get more requests than it has
+// slots, and a former incarnation or an endpoint that is draining gets none.
+func TestLateAnnouncement(t *testing.T) {
+	const term, formerTerm = 3, 2
+	announcement := func(incarnation string, sequence uint64, term uint64) pj.EndpointAnnouncement {
+		return pj.EndpointAnnouncement{
+			Endpoint: "e", Address: "address of " + incarnation, Queues: []string{"*"}, Slots: 2, TTLMS: 5000,
+			Incarnation: incarnation, Sequence: sequence, Term: term,
+		}
+	}
+	inFlight := func(a pj.EndpointAnnouncement, n int) pj.EndpointAnnouncement { a.InFlight = n; return a }
+	draining := func(a pj.EndpointAnnouncement) pj.EndpointAnnouncement { a.Draining = true; return a }
+	tests := map[string]struct {
+		early   []pj.EndpointAnnouncement // received while grants of the former leader may be valid
+		late    []pj.EndpointAnnouncement // received after that
+		granted map[string]int            // by address, of three requests
+	}{
+		"two announcements after the fence": {
+			late:    []pj.EndpointAnnouncement{announcement("b", 1, 0), announcement("b", 2, term)},
+			granted: map[string]int{"address of b": 2},
+		},
+		"requests in flight are counted": {
+			early:   []pj.EndpointAnnouncement{announcement("b", 7, formerTerm)},
+			late:    []pj.EndpointAnnouncement{inFlight(announcement("b", 8, formerTerm), 1), inFlight(announcement("b", 9, term), 1)},
+			granted: map[string]int{"address of b": 1},
+		},
+		"sent before the former leader's last grant was used": {
+			late: []pj.EndpointAnnouncement{announcement("b", 7, formerTerm)},
+		},
+		"two that were sent before the former leader's last grant was used": {
+			late: []pj.EndpointAnnouncement{announcement("b", 7, formerTerm), announcement("b", 8, formerTerm)},
+		},
+		"sent before it, received after later ones": {
+			late: []pj.EndpointAnnouncement{
+				inFlight(announcement("b", 8, formerTerm), 2), inFlight(announcement("b", 9, term), 2), announcement("b", 7, formerTerm),
+			},
+		},
+		"of a former incarnation": {
+			late: []pj.EndpointAnnouncement{
+				announcement("a", 1, 0), announcement("a", 2, term), announcement("b", 1, 0), announcement("b", 2, term), announcement("a", 3, term),
+			},
+			granted: map[string]int{"address of b": 2},
+		},
+		"of a former incarnation, for a former leader": {
+			late:    []pj.EndpointAnnouncement{announcement("b", 1, 0), announcement("b", 2, term), announcement("a", 9, formerTerm)},
+			granted: map[string]int{"address of b": 2},
+		},
+		"of a former incarnation that is draining": {
+			late: []pj.EndpointAnnouncement{
+				announcement("a", 1, 0), announcement("a", 2, term), announcement("b", 1, 0), announcement("b", 2, term), draining(announcement("a", 3, term)),
+			},
+			granted: map[string]int{"address of b": 2},
+		},
+		"sent before the endpoint was draining": {
+			late: []pj.EndpointAnnouncement{
+				announcement("b", 1, 0), announcement("b", 2, term), draining(announcement("b", 4, term)), announcement("b", 3, term),
+			},
+		},
+		"of the next version, received late": {
+			late:    []pj.EndpointAnnouncement{announcement("", 0, 0), announcement("a", 7, formerTerm)},
+			granted: map[string]int{"address of ": 2},
+		},
+		"of an earlier version": {
+			late:    []pj.EndpointAnnouncement{announcement("", 0, 0)},
+			granted: map[string]int{"address of ": 2},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTestTable()
+			deliver := func(list []pj.EndpointAnnouncement) {
+				for _, a := range list {
+					_, _ = table.Announce(table.now, a)
+				}
+			}
+			table.advance(100 * time.Millisecond)
+			deliver(test.early)
+			table.advance(400 * time.Millisecond)
+			deliver(test.late)
+			table.request("quick", 3)
+			granted := make(map[string]int)
+			for _, g := range table.grants {
+				granted[g.Address]++
+			}
+			is.Equal(len(granted), len(test.granted))
+			for address, n := range test.granted {
+				is.Equal(granted[address], n)
+			}
+		})
+	}
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -48,6 +49,9 @@
 // Endpoint is a stand-in endpoint.
 type Endpoint struct {
 	options     Options
+	incarnation string
+	sequence    atomic.Uint64 // of the last announcement
+	term        atomic.Uint64 // highest term of a leader in the replies
 	address     string
 	server      *http.Server
 	inFlight    atomic.Int64
@@ -75,7 +79,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for endpoint %s: %w", options.Name, err)
 	}
-	e := &Endpoint{options: options, address: listener.Addr().String()}
+	e := &Endpoint{options: options, incarnation: rand.Text(), address: listener.Addr().String()}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: readTimeout}
 	go func() {
 		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -103,6 +107,7 @@
 // Announcement returns the next announcement.
 func (e *Endpoint) Announcement() pj.EndpointAnnouncement {
 	return pj.EndpointAnnouncement{
+		Incarnation: e.incarnation, Sequence: e.sequence.Add(1), Term: e.term.Load(),
 		Endpoint: e.options.Name, Address: e.address, Zone: e.options.Zone, Queues: e.options.Queues,
 		Slots: e.options.Slots, InFlight: e.InFlight(), Draining: e.draining.Load(), TTLMS: announceTTL.Milliseconds(),
 	}
@@ -134,6 +139,7 @@
 	reply, err := client.Announce(ctx, e.Announcement())
 	if err == nil {
 		client.Prefer(reply.NextEntry)
+		e.term.Store(max(e.term.Load(), reply.Term))
 	}
 	return reply, err
 }
