--- a/internal/control/coordinator/testbed_test.go
+++ b/internal/control/coordinator/testbed_test.go
@@ -43,14 +43,19 @@
 	rack        string
 	incarnation int
 	clockRate   float64
-	paused      bool // neither the agent nor its tasks make progress
-	partitioned bool // its tasks continue, but no message reaches it or leaves it
-	replies     []delayedReply
+	paused      bool                   // neither the agent nor its tasks make progress
+	partitioned bool                   // its tasks continue, but no message reaches it or leaves it
+	replies     []pj.WorkerReportReply // in flight, also those to reports of former agents
+	delayed     []pj.WorkerReport      // sent but not received yet, also those of former agents
+	pending     pendingReport
 }
 
-type delayedReply struct {
-	sent  time.Duration // when the report was sent, by the host's clock
-	reply pj.WorkerReportReply
+// pendingReport is the last report of a host.
+type pendingReport struct {
+	leader   *coordinator.Coordinator
+	sentAt   time.Duration // by the testbed's clock
+	running  int           // tasks
+	answered bool
 }
 
 // testbed runs a cell's leader and stand-in workers on a virtual clock.
@@ -124,7 +129,7 @@
 // restart gives the host a new agent, which has no record of earlier tasks.
 func (b *testbed) restart(h *host) {
 	h.incarnation++
-	h.replies = nil
+	h.pending = pendingReport{}
 	h.agent = worker.New(worker.Options{
 		Name: h.name, Zone: "z", Rack: h.rack, Incarnation: fmt.Sprint(h.incarnation), Capacity: b.capacity,
 		TaskRunTime: 3 * time.Second, Usage: b.usage, FailRate: b.failRate, Random: func() float64 { return 0.5 },
@@ -175,23 +180,56 @@
 	if h.paused || h.partitioned {
 		return
 	}
-	sent := b.localTime(h)
-	agent := h.agent
-	b.leader.Report(agent.Report(sent), func(reply pj.WorkerReportReply, err error) {
-		if err == nil && agent == h.agent {
-			h.replies = append(h.replies, delayedReply{sent: sent, reply: reply})
+	pending := pendingReport{leader: b.leader, sentAt: b.now, running: len(h.agent.Running())}
+	h.pending = pending
+	b.leader.Report(h.agent.Report(b.localTime(h)), func(reply pj.WorkerReportReply, err error) {
+		if h.pending == pending {
+			h.pending.answered = true
+		}
+		if err == nil {
+			h.replies = append(h.replies, reply)
 		}
 	})
 }
 
+// delayReport makes the host's agent send a report that the leader receives later or never.
+func (b *testbed) delayReport(h *host) {
+	if !h.paused && !h.partitioned {
+		h.delayed = append(h.delayed, h.agent.Report(b.localTime(h)))
+	}
+}
+
+// sendDelayedReport passes the delayed report at index i to the present leader.
+func (b *testbed) sendDelayedReport(h *host, i int) {
+	if h.partitioned || i >= len(h.delayed) {
+		return
+	}
+	r := h.delayed[i]
+	h.delayed = slices.Delete(h.delayed, i, i+1)
+	b.leader.Report(r, func(reply pj.WorkerReportReply, err error) {
+		if err == nil {
+			h.replies = append(h.replies, reply)
+		}
+	})
+}
+
+// reportDue reports whether the host's agent would send a report now: the last one was answered, can't be answered any
+// more or has timed out, or a task has ended since.
+func (b *testbed) reportDue(h *host) bool {
+	const reportTimeout = 3500 * time.Millisecond
+	p := h.pending
+	h.agent.Tick(b.localTime(h))
+	return p.answered || p.leader != b.leader || b.now >= p.sentAt+reportTimeout || len(h.agent.Running()) != p.running
+}
+
 // deliver passes the reply at index i to the host.
 func (b *testbed) deliver(h *host, i int) {
 	if h.paused || h.partitioned || i >= len(h.replies) {
 		return
 	}
-	r := h.replies[i]
+	reply := h.replies[i]
 	h.replies = slices.Delete(h.replies, i, i+1)
-	h.agent.Handle(b.localTime(h), r.sent, r.reply)
+	h.agent.Handle(b.localTime(h), reply)
 }
 
 // run advances the clock by span without new faults: every step ticks the leader, completes commits
@@ -203,7 +241,9 @@
 		b.leader.Tick()
 		b.commit()
 		for _, h := range b.hosts {
-			b.report(h)
+			if !h.paused && b.reportDue(h) {
+				b.report(h)
+			}
 			b.commit()
 			for len(h.replies) > 0 && !h.paused && !h.partitioned {
 				b.deliver(h, 0)
@@ -272,7 +312,14 @@
 			return fmt.Sprintf("worker %s has %v reserved at %v", h.name, h.agent.Reserved(), b.now)
 		}
 		for _, id := range h.agent.Running() {
-			if r := b.state.Job(id.Job); r != nil {
+			r := b.state.Job(id.Job)
+			if r != nil && r.Tasks[id.Task].LiveAttempt != nil {
+				live := r.Tasks[id.Task].LiveAttempt
+				if live.Number == id.Number && (live.Worker != h.name || live.Incarnation != fmt.Sprint(h.incarnation)) {
+					return fmt.Sprintf("%v runs on %s/%d, recorded for %s/%s, at %v", id, h.name, h.incarnation, live.Worker, live.Incarnation, b.now)
+				}
+			}
+			if r != nil {
 				usage[r.Job.Workspace] = usage[r.Job.Workspace].Add(r.Job.Task)
 			}
 		}
--- a/internal/control/coordinator/workers.go
+++ b/internal/control/coordinator/workers.go
@@ -6,6 +6,7 @@
 
 	pj "papayajunction"
 	"papayajunction/internal/control/cell"
+	"papayajunction/internal/control/incarnation"
 )
 
 // workerView is the leader's view of a worker.
@@ -19,7 +20,8 @@
 	lastReport      time.Duration // when the last report was received
 	sequence        uint64        // of the last report
 	draining        bool
-	nextIncarnation string // incarnation that reported while the lease of the earlier one was still valid
+	contacts        incarnation.Contacts
+	nextIncarnation string // incarnation that is to replace the present one when the lease of that has expired
 	attempts        map[pj.AttemptID]*attemptView
 	acks            []pj.AttemptID // ends to acknowledge in the next reply
 	state           string         // as shown to operators; new tasks start only on a worker whose state is "working"
@@ -35,6 +37,7 @@
 	id              pj.AttemptID
 	record          *cell.Record
 	worker          *workerView
+	incarnation     string        // of the worker, for which the start was decided
 	since           time.Duration // when it was proposed, adopted or first reported as running
 	proposed        bool          // the start is not committed yet, so it must not be sent to a worker
 	startSent       bool          // the start may have been sent to the worker
@@ -45,6 +48,11 @@
 	peak            pj.Resources // peak of the reported usage
 }
 
+// isForFormer reports whether another incarnation of the worker has replaced the one for which the attempt was decided.
+func (v *attemptView) isForFormer() bool {
+	return v.incarnation != v.worker.incarnation
+}
+
 // expectWorker adds a worker that has recorded attempts but hasn't reported to this leader yet. It is
 // unusable until it reports.
 func (c *Coordinator) expectWorker(now time.Duration, live *cell.Attempt) *workerView {
@@ -73,12 +81,23 @@
 	now := c.options.Clock.Now()
 	w := c.workers[r.Worker]
 	if w == nil {
-		w = &workerView{name: r.Worker, incarnation: r.Incarnation, attempts: make(map[pj.AttemptID]*attemptView)}
+		w = &workerView{name: r.Worker, lastReport: now, attempts: make(map[pj.AttemptID]*attemptView), state: "expected"}
 		c.workers[r.Worker] = w
 	}
+	// Without a lease and without work: the report proves no more than that the worker may be alive, or the earlier
+	// incarnation may still run tasks.
+	termOnly := pj.WorkerReportReply{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: c.options.Term}
+	message := incarnation.Message{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: r.Term}
+	if !w.contacts.IsCurrent(message, c.options.Term) {
+		reply(termOnly, nil)
+		return
+	}
+	if w.isFormer(r.Incarnation) {
+		reply(pj.WorkerReportReply{}, pj.Refuse(pj.CodeConflict, "another incarnation of worker %s has taken its place", r.Worker))
+		return
+	}
 	if !c.acceptIncarnation(now, w, r) {
-		// The earlier incarnation may still run tasks: no lease and no work until its lease has expired.
-		reply(pj.WorkerReportReply{Term: c.options.Term}, nil)
+		reply(termOnly, nil)
 		return
 	}
 	if w.reported && r.Sequence <= w.sequence {
@@ -86,9 +105,7 @@
 		return
 	}
 	w.sequence = r.Sequence
-	if w.heldReply != nil {
-		c.sendReportReply(now, w)
-	}
+	w.sendHeldReply(pj.WorkerReportReply{}, supersededError(w.name)) // the worker waits for the reply to this report only
 	c.updateWorker(now, w, r)
 	c.reconcileTasks(now, w, r)
 	w.heldReply = reply
@@ -99,6 +116,10 @@
 	c.Schedule()
 }
 
+func supersededError(worker string) *pj.Error {
+	return pj.Refuse(pj.CodeConflict, "worker %s has sent a later report", worker)
+}
+
 func checkReport(r pj.WorkerReport, zone string) *pj.Error {
 	switch {
 	case r.Worker == "" || r.Incarnation == "":
@@ -111,19 +132,29 @@
 	return nil
 }
 
-// acceptIncarnation reports whether the reporting incarnation may replace the current one. It may
-// once the current one has no attempts left or its lease has certainly expired.
+// isFormer reports whether a later incarnation of the worker has replaced the given one or is about to.
+func (w *workerView) isFormer(name string) bool {
+	latest := w.incarnation
+	if w.nextIncarnation != "" {
+		latest = w.nextIncarnation
+	}
+	return name != latest && (name == w.incarnation || w.contacts.Precedes(name, latest))
+}
+
+// acceptIncarnation reports whether the reporting incarnation, which is not a former one, may act now. It may replace the
+// earlier one once that has no attempts left or its lease has certainly expired; until then no lease is renewed.
 func (c *Coordinator) acceptIncarnation(now time.Duration, w *workerView, r pj.WorkerReport) bool {
 	if w.incarnation == r.Incarnation {
 		return true
 	}
+	w.sendHeldReply(pj.WorkerReportReply{}, supersededError(w.name))
 	if len(w.attempts) > 0 && now < w.leaseUntil {
 		w.nextIncarnation = r.Incarnation
-		c.scheduler.SetUsable(w.name, false)
+		c.updateState(now, w)
 		return false
 	}
 	for _, v := range w.attempts {
-		c.endAttempt(v, cell.EndAttempt{Attempt: v.id, Phase: pj.PhaseStopped, Reason: "the worker restarted"}, true)
+		c.endFormerAttempt(v)
 	}
 	w.incarnation = r.Incarnation
 	w.nextIncarnation = ""
@@ -131,6 +162,11 @@
 	return true
 }
 
+// endFormerAttempt ends an attempt for a former incarnation, whose lease has certainly expired.
+func (c *Coordinator) endFormerAttempt(v *attemptView) {
+	c.endAttempt(v, cell.EndAttempt{Attempt: v.id, Phase: pj.PhaseStopped, Reason: "the worker restarted"}, true)
+}
+
 func (c *Coordinator) updateWorker(now time.Duration, w *workerView, r pj.WorkerReport) {
 	if !w.reported || w.capacity != r.Capacity || w.rack != r.Rack {
 		c.options.Events.WorkerChanged(w.name, "reporting", r.Capacity.String())
@@ -181,7 +217,11 @@
 		}
 	}
 	for id, v := range w.attempts {
-		if _, ok := seen[id]; !ok && v.running && !v.ending {
+		_, ok := seen[id]
+		switch {
+		case v.isForFormer(): // and its end could not be committed yet
+			c.endFormerAttempt(v)
+		case !ok && v.running && !v.ending:
 			// The task ran and is missing from the report although its end was never acknowledged.
 			c.endAttempt(v, cell.EndAttempt{Attempt: id, Phase: pj.PhaseStopped, Reason: "the worker lost the task"}, true)
 		}
@@ -199,7 +239,7 @@
 		return
 	}
 	w.hasUpdate = true
-	w.attempts[t.Attempt] = &attemptView{id: t.Attempt, worker: w, pendingVerb: pj.VerbStop, running: true}
+	w.attempts[t.Attempt] = &attemptView{id: t.Attempt, worker: w, incarnation: w.incarnation, pendingVerb: pj.VerbStop, running: true}
 }
 
 func (c *Coordinator) taskRunning(now time.Duration, v *attemptView, t pj.TaskReport) {
@@ -346,7 +386,7 @@
 
 func (c *Coordinator) hasActions(w *workerView) bool {
 	for _, v := range w.attempts {
-		if !v.proposed && !v.ending && (!v.running || v.pendingVerb != "") {
+		if !v.proposed && !v.ending && !v.isForFormer() && (!v.running || v.pendingVerb != "") {
 			return true
 		}
 	}
@@ -356,11 +396,14 @@
 // buildReportReply builds the reply to a worker's report and renews the worker's lease. Actions are repeated
 // until a report shows their effect; all of them are idempotent.
 func (c *Coordinator) buildReportReply(now time.Duration, w *workerView) pj.WorkerReportReply {
-	reply := pj.WorkerReportReply{Term: c.options.Term, LeaseMS: TaskLease.Milliseconds(), Acknowledged: w.acks}
+	reply := pj.WorkerReportReply{
+		Incarnation: w.incarnation, Sequence: w.sequence,
+		Term: c.options.Term, LeaseMS: TaskLease.Milliseconds(), Acknowledged: w.acks,
+	}
 	w.leaseUntil = now + taskLeaseExpiry
 	for _, v := range w.attempts {
 		switch {
-		case v.proposed || v.ending:
+		case v.proposed || v.ending || v.isForFormer():
 		case v.pendingVerb != "":
 			reply.Actions = append(reply.Actions, pj.Action{Verb: v.pendingVerb, Attempt: v.id})
 		case !v.running:
--- a/worker.go
+++ b/worker.go
@@ -31,7 +31,8 @@
 //
 // Incarnation changes when the worker restarts; a new incarnation has no earlier task. Term is the
 // highest term of the cell's leader that the worker has received. Sequence grows with each report of
-// an incarnation, so that a report that arrives after a later one can be recognised as stale.
+// an incarnation, so that a report that arrives after a later one can be recognised as stale. A leader grants a
+// lease only in reply to a report that names its term and isn't the first one that it received from the incarnation.
 type WorkerReport struct {
 	Worker      string       `json:"worker"`
 	Zone        string       `json:"zone"`
@@ -69,7 +70,12 @@
 
 // WorkerReportReply is the reply to a worker's report. The worker may run its tasks for LeaseMS milliseconds,
 // counted from when it sent the report; it stops reporting the tasks in Acknowledged.
+//
+// Incarnation and Sequence name the report that is answered. A worker ignores a reply that names another report than the
+// last one it sent, and a second reply to that one: leases, actions and acknowledgements hold for the answered report only.
 type WorkerReportReply struct {
+	Incarnation  string      `json:"incarnation"`
+	Sequence     uint64      `json:"sequence"`
 	Term         uint64      `json:"term"`
 	LeaseMS      int64       `json:"lease_ms"`
 	NextEntry    string      `json:"entry,omitempty"` // address of the entry VM that the next report should go to, as it leads the cell
