--- a/internal/control/incarnation/incarnation.go
+++ b/internal/control/incarnation/incarnation.go
@@ -7,6 +7,9 @@
 // unknown is the position of an incarnation that has not been heard.
 const unknown = -1
 
+// maxContacts is the number of incarnations that are remembered. One that was forgotten has to be heard twice again.
+const maxContacts = 16
+
 // Message identifies a message of an incarnation: its sequence, which grows with each message, and the highest term of a
 // leader that the sender had received.
 type Message struct {
@@ -15,7 +18,7 @@
 	Term        uint64
 }
 
-// Contacts are the first messages of each incarnation of one worker or endpoint that a leader has received, in that order.
+// Contacts are the first messages of the latest incarnations of one worker or endpoint that a leader has received, in that order.
 // The zero value is empty.
 type Contacts struct {
 	first []Message
@@ -27,7 +30,7 @@
 func (c *Contacts) IsCurrent(m Message, term uint64) bool {
 	position := c.position(m.Incarnation)
 	if position == unknown {
-		c.first = append(c.first, m)
+		c.first = append(c.first[max(len(c.first)-maxContacts+1, 0):], m)
 		return false
 	}
 	return m.Term == term && m.Sequence > c.first[position].Sequence
