Runs: acknowledgements aren't withheld for long on a busy worker

Callers could see: ends that a worker lists are acknowledged seconds late, and its lists grow, on a worker on which a run starts with nearly every message.

Cause: a poll acknowledges nothing while a run isn't listed yet, and on such a worker there is always one.

Change: after 500 ms nothing starts there until all runs are listed, which the next answer does.

--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -20,6 +21,9 @@
 //     may be another's, and a start has a higher token than each acknowledgement that has no answer yet. So an acknowledgement that the next incarnation
 //     receives can't cover ends there that nobody has read.
 
+// maxAckDelay is the time for which an acknowledgement may be withheld. Then nothing starts on the worker until all runs there are listed.
+const maxAckDelay = 500 * time.Millisecond
+
 // raiseFence raises a worker's fencing token: earlier calls have no effect once a later one has reached the worker.
 func (c *Controller) raiseFence(w *worker) {
 	if c.fence+1 >= c.options.Term+FencesPerTerm {
@@ -65,22 +69,25 @@
 
 // ackFor returns the number up to which a poll acknowledges ends, or 0 for none that are new. If a worker lists only a part of its ends, it must be told
 // of these before it lists the others.
-func (w *worker) ackFor() int64 {
+func (w *worker) ackFor(now time.Duration) int64 {
+	if w.acked <= w.noted {
+		w.withheldAt = 0
+		return 0
+	}
 	for _, v := range w.runs {
 		if v.fence != 0 && !v.confirmed && !w.partial {
+			w.withheldAt = cmp.Or(w.withheldAt, max(now, 1))
 			return 0
 		}
 	}
-	if w.acked <= w.noted {
-		return 0
-	}
+	w.withheldAt = 0
 	return w.acked
 }
 
 // restarted resets what the earlier incarnation of the worker has told and been told.
 func (c *Controller) restarted(now time.Duration, w *worker) {
 	w.acked, w.noted, w.leaseEndMS, w.clockMS = 0, 0, 0, 0
-	w.polled, w.partial, w.strayAt, w.knownSince = false, false, 0, now
+	w.polled, w.partial, w.strayAt, w.withheldAt, w.knownSince = false, false, 0, 0, now
 	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
 	w.strayLease, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
 	for _, v := range w.runs {
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -38,10 +38,11 @@
 	polling       bool
 	pollingAtOnce bool // a poll that is answered at once is in flight
 
-	fence    uint64 // fencing token of calls to it
-	acksOpen int    // polls with an acknowledgement and the current token that have no answer
-	noted    int64  // highest number that an answered poll has acknowledged
-	partial  bool   // its last answer listed only a part of its ends
+	fence      uint64        // fencing token of calls to it
+	acksOpen   int           // polls with an acknowledgement and the current token that have no answer
+	noted      int64         // highest number that an answered poll has acknowledged
+	withheldAt time.Duration // since when an acknowledgement is withheld; 0 if none is
+	partial    bool          // its last answer listed only a part of its ends
 
 	strayAt        time.Duration // when it last listed a stray run; 0 if it doesn't
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
@@ -198,7 +199,8 @@
 // schedulable reports whether new tasks may start on the worker. The runs of a draining worker stay there until it leaves.
 // A new incarnation may have other labels and another capacity, so it must have announced them.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.usable && w.described == w.Incarnation && w.strayAt == 0 && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil
+	return w.usable && w.described == w.Incarnation && w.strayAt == 0 && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil &&
+		(w.withheldAt == 0 || now < w.withheldAt+maxAckDelay)
 }
 
 // minClockMS returns a lower bound of the worker's clock.
@@ -260,7 +262,7 @@
 	}
 	w.polling = true
 	w.nextPollAt = now + minPollInterval
-	request := pj.PollRequest{Fence: w.fence, Ack: w.ackFor()}
+	request := pj.PollRequest{Fence: w.fence, Ack: w.ackFor(now)}
 	if w.polled {
 		request.MaxWait = w.pollWait(now)
 		request.LeaseUntilMS = c.renewedLease(now, w)
@@ -291,7 +293,7 @@
 		return
 	}
 	w.pollingAtOnce, w.nextPollAtOnce = true, now+pollAtOnceInterval
-	request := pj.PollRequest{Fence: w.fence, Ack: w.ackFor(), LeaseUntilMS: c.renewedLease(now, w)}
+	request := pj.PollRequest{Fence: w.fence, Ack: w.ackFor(now), LeaseUntilMS: c.renewedLease(now, w)}
 	c.sendPoll(now, w, request, &w.pollingAtOnce)
 }
 
