--- a/internal/control/runs/late_calls_test.go
+++ b/internal/control/runs/late_calls_test.go
@@ -358,7 +358,7 @@
 type busyWorker struct {
 	*cell
 	way, runTime time.Duration
-	calls        []*call
+	calls        []*slowCall
 	running      map[pj.RunID]time.Duration // until when
 	ended        []pj.EndedRun
 	endedAt      map[int64]time.Duration
@@ -369,7 +369,7 @@
 	starts      int
 }
 
-type call struct {
+type slowCall struct {
 	*order
 	arrivesAt, answeredAt time.Duration
 	response              pj.PollResponse
@@ -382,7 +382,7 @@
 	}
 	b.c.Flush()
 	for _, o := range b.orders.sent {
-		b.calls = append(b.calls, &call{order: o, arrivesAt: b.clock.now + b.way})
+		b.calls = append(b.calls, &slowCall{order: o, arrivesAt: b.clock.now + b.way})
 	}
 	b.orders.sent = nil
 	for run, until := range b.running {
@@ -410,7 +410,7 @@
 	}
 }
 
-func (b *busyWorker) carryOut(c *call) {
+func (b *busyWorker) carryOut(c *slowCall) {
 	now := b.clock.now
 	switch c.kind {
 	case "start":
