--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -214,10 +214,11 @@
 	if incarnation <= w.Incarnation || incarnation > c.latestIncarnation() {
 		return false
 	}
-	c.options.Events.Record("worker_restarted", "worker", w.ID, "born", incarnation, "before", w.Incarnation, "runs", len(w.runs),
-		"clock_ms", clockMS, "clock_before_ms", w.minClockMS(now), "until_before_ms", w.leaseEndMS)
+	before, clockBeforeMS, untilBeforeMS := w.Incarnation, w.minClockMS(now), w.leaseEndMS
 	w.Incarnation = incarnation
 	c.restarted(now, w)
+	c.options.Events.Record("worker_restarted", "worker", w.ID, "born", incarnation, "before", before, "runs", len(w.runs),
+		"clock_ms", clockMS, "clock_before_ms", clockBeforeMS, "until_before_ms", untilBeforeMS, "fence", w.fence)
 	return true
 }
 
--- a/workerapi.go
+++ b/workerapi.go
@@ -183,9 +183,11 @@
 	return "the worker refused the request: " + string(e.Reason)
 }
 
-// WorkerClient is a client for the API of workers. A request reaches only the given incarnation of the worker, now or later; if
-// another one answers, the error is a RefusedError with RefusedRestarted. An incarnation of 0 stands for any. After an error
-// other than a RefusedError it is unknown whether the worker carries out the request.
+// WorkerClient is a client for the API of workers. If the client finds that another incarnation than the given one is there, it sends
+// nothing, and the error is a RefusedError with RefusedRestarted. But a connection may outlive a worker's process, and a request may
+// be carried out seconds later: the next incarnation may carry out, and answer, what was meant for an earlier one, unless it has received
+// a higher fencing token. Only the answer to a poll tells which incarnation has answered. An incarnation of 0 stands for any. After
+// an error other than a RefusedError it is unknown whether the worker carries out the request.
 type WorkerClient interface {
 	Start(ctx context.Context, w *PolledWorker, r StartRequest) (clockMS int64, err error)
 	Stop(ctx context.Context, w *PolledWorker, run RunID, fence uint64) (clockMS int64, err error)
