--- a/internal/control/runs/review_test.go
+++ b/internal/control/runs/review_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	pj "papayajunction"
 	"papayajunction/internal/control/runs"
 )
@@ -329,3 +331,107 @@
 	}
 	x.is.Equal(len(x.orders.take("start")), 0)
 }
+
+// busyWorker carries out what the leader sends to one worker, each call and each answer a while later.
+type busyWorker struct {
+	*cell
+	way, runTime time.Duration
+	calls        []*call
+	running      map[pj.RunID]time.Duration // until when
+	ended        []pj.EndedRun
+	endedAt      map[int64]time.Duration
+	number       int64
+
+	longestAck  time.Duration // from an end to its acknowledgement
+	longestList int           // of ends in one response
+	starts      int
+}
+
+type call struct {
+	*order
+	arrivesAt, answeredAt time.Duration
+	response              pj.PollResponse
+}
+
+// step lets a millisecond pass.
+func (b *busyWorker) step() {
+	b.clock.now += time.Millisecond
+	if b.clock.now%(10*time.Millisecond) == 0 {
+		b.c.Tick()
+	}
+	b.c.Flush()
+	for _, o := range b.orders.sent {
+		b.calls = append(b.calls, &call{order: o, arrivesAt: b.clock.now + b.way})
+	}
+	b.orders.sent = nil
+	for run, until := range b.running {
+		if b.clock.now >= until {
+			delete(b.running, run)
+			b.number++
+			b.ended = append(b.ended, pj.EndedRun{Number: b.number, Run: run, Outcome: pj.EndDone})
+			b.endedAt[b.number] = b.clock.now
+		}
+	}
+	calls := b.calls
+	b.calls = nil
+	for _, c := range calls {
+		if c.answeredAt == 0 && b.clock.now >= c.arrivesAt {
+			b.carryOut(c)
+		}
+		switch {
+		case c.answeredAt == 0 || b.clock.now < c.answeredAt:
+			b.calls = append(b.calls, c)
+		case c.kind == "poll":
+			c.answerPoll(c.response, nil)
+		default:
+			c.answer(nil)
+		}
+	}
+}
+
+func (b *busyWorker) carryOut(c *call) {
+	now := b.clock.now
+	switch c.kind {
+	case "start":
+		b.starts++
+		b.running[c.run] = now + b.runTime*time.Duration(50+b.starts*37%100)/100
+	case "poll":
+		for len(b.ended) > 0 && b.ended[0].Number <= c.poll.Ack {
+			b.longestAck = max(b.longestAck, now-b.endedAt[b.ended[0].Number])
+			b.ended = b.ended[1:]
+		}
+		if len(b.ended) == 0 && now < c.arrivesAt+c.poll.MaxWait {
+			return
+		}
+		const most = 500
+		list := b.ended[:min(len(b.ended), most)]
+		b.longestList = max(b.longestList, len(list))
+		c.response = b.listed(testIncarnation, 0, nil, append([]pj.EndedRun(nil), list...)...)
+		c.response.Partial = len(list) == most
+		for run := range b.running {
+			c.response.Running = append(c.response.Running, pj.RunStatus{Run: run, Progress: int(now / (200 * time.Millisecond))})
+		}
+	}
+	c.answeredAt = now + b.way
+}
+
+// TestBusyWorkerIsAcknowledged: on a worker on which a run starts with nearly every message, ends are acknowledged as soon as elsewhere.
+func TestBusyWorkerIsAcknowledged(t *testing.T) {
+	x := newCellOf(func(int) pj.PolledWorker {
+		w := testWorker("w0")
+		w.Capacity = pj.NewResources(64, 640, 0, 0)
+		return w
+	}, 1)
+	x.is = is.New(t)
+	x.submit("a", pj.Step{Tasks: 10_000, Task: pj.NewResources(1, 1, 0, 0), EstimateMS: 500})
+	b := &busyWorker{cell: x, way: 15 * time.Millisecond, runTime: 500 * time.Millisecond, running: make(map[pj.RunID]time.Duration), endedAt: make(map[int64]time.Duration)}
+	for range 10_000 {
+		b.step()
+	}
+	for _, end := range b.ended {
+		b.longestAck = max(b.longestAck, x.clock.now-b.endedAt[end.Number])
+	}
+	t.Logf("%d starts; longest time to an acknowledgement %s; longest list %d", b.starts, b.longestAck, b.longestList)
+	x.is.True(b.longestAck <= time.Second)
+	x.is.True(b.longestList <= 100)
+}
