--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -64,6 +64,7 @@
 	poll    pj.PollRequest
 	step    pj.StepID
 	workers []string
+	fence   uint64 // of stops
 
 	incarnation int64 // of the worker; for polls
 
@@ -79,8 +80,8 @@
 	o.sent = append(o.sent, &order{kind: "start", worker: w.ID, run: s.Run, start: s, answer: func(err error) { done(0, err) }})
 }
 
-func (o *orders) Stop(w pj.PolledWorker, run pj.RunID, _ uint64, done func(int64, error)) {
-	o.sent = append(o.sent, &order{kind: "stop", worker: w.ID, run: run, answer: func(err error) { done(0, err) }})
+func (o *orders) Stop(w pj.PolledWorker, run pj.RunID, fence uint64, done func(int64, error)) {
+	o.sent = append(o.sent, &order{kind: "stop", worker: w.ID, run: run, fence: fence, answer: func(err error) { done(0, err) }})
 }
 
 func (o *orders) Poll(w pj.PolledWorker, request pj.PollRequest, done func(pj.PollResponse, error)) {
