Cluster: test that terms leave room for raised fencing tokens

Without TermStep in the replica's options all tests passed (the reviewer's mutation): raised tokens would overlap the next leader's term. TestSystem's new case fails without it.

--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/runs"
 	"papayajunction/internal/server/cluster"
 	"papayajunction/internal/server/peer"
 	"papayajunction/internal/standin/polledworker"
@@ -40,14 +41,16 @@
 	close   func()
 }
 
-// countingClient counts the start requests that a VM sends to workers.
+// countingClient counts the start requests that a VM sends to workers, and keeps their fencing token.
 type countingClient struct {
 	pj.WorkerClient
 	starts atomic.Int64
+	fence  atomic.Uint64 // of the last start
 }
 
 func (c *countingClient) Start(ctx context.Context, w *pj.PolledWorker, s pj.StartRequest) (int64, error) {
 	c.starts.Add(1)
+	c.fence.Store(s.Fence)
 	return c.WorkerClient.Start(ctx, w, s)
 }
 
@@ -215,6 +218,11 @@
 			s.awaitComplete("a")
 			s.is.Equal(s.fleet.FinishedTasks(), 10)
 		},
+		"terms leave room for fencing tokens that are raised within them": func(s *system) {
+			s.submit("a", diamond()...)
+			s.awaitComplete("a")
+			s.is.True(s.vms[s.leader()].client.fence.Load() >= runs.FencesPerTerm)
+		},
 		"leader is lost while tasks run": func(s *system) {
 			s.submit("a", diamond()...)
 			s.stop(s.leader())
