Runs: stray runs cost nothing where there are none

A step whose tasks are all held by stray runs isn't considered, so that it holds nothing of its workspace's limit.

--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -25,10 +25,11 @@
 		total := len(ts.pending)
 		putBack := c.holdStrays(ts)
 		switch {
-		case !ts.spec.Gang:
-			p.scheduleTasks(ts)
-		case len(ts.pending) == total:
+		case len(ts.pending) == 0 || ts.spec.Gang && len(ts.pending) < total: // stray runs are still on workers
+		case ts.spec.Gang:
 			p.scheduleGang(ts)
+		default:
+			p.scheduleTasks(ts)
 		}
 		putBack()
 		if len(ts.pending) == 0 {
--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -39,6 +39,7 @@
 	r := c.options.State.Record(id.Task.Workflow)
 	s := &stray{worker: w, workspace: r.Workflow.Workspace, amount: r.Workflow.Steps[id.Task.Step].Reservation(), listedAt: now}
 	c.strays[id.Task] = append(c.strays[id.Task], s)
+	w.strays++
 	c.ledger.Charge(s.workspace, s.amount)
 }
 
@@ -55,10 +56,14 @@
 // clearStrays ends what holdStray keeps from starting because of a worker, but for tasks of which it still lists a run in its answer to a
 // poll that was sent at the given time.
 func (c *Controller) clearStrays(w *worker, sent time.Duration, listed map[pj.RunID]struct{}) {
+	if w.strays == 0 {
+		return
+	}
 	for task, strays := range c.strays {
 		remaining := slices.DeleteFunc(strays, func(s *stray) bool {
 			gone := s.worker == w && sent >= s.listedAt && !listsTask(listed, task)
 			if gone {
+				w.strays--
 				c.ledger.Refund(s.workspace, s.amount)
 				c.dirty = true
 			}
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -45,6 +45,7 @@
 	partial    bool          // its last answer listed only a part of its ends
 
 	strayAt        time.Duration // when it last listed a stray run; 0 if it doesn't
+	strays         int           // in Controller.strays
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
 	nextPollAtOnce time.Duration
 
