Schedules: terms are further apart; a stray that a leader knows is none

A stray counts on its own only until an answer that lists it has arrived at the leader that sends the next start; the workspace's limit is checked the same way.

--- a/internal/control/runs/lives_test.go
+++ b/internal/control/runs/lives_test.go
@@ -397,9 +397,7 @@
 	task, worker := r.id.Task, r.at.worker.id
 	for _, other := range s.running[task] {
 		kind := twoRuns
-		listedAt, listed := c.from.listed[other]
-		unknown := !listed || listedAt > c.sent
-		if r.stray || (other.stray && unknown) {
+		if r.stray || (other.stray && !c.from.knows(other, c.sent)) {
 			kind = strayTwoRuns
 		}
 		s.violate(kind, task, []string{worker, other.at.worker.id}, "task %v: run %d starts on %s (%d) while run %d goes on on %s (%d) since %s; start meant for %d, sent at %s, late %v",
@@ -419,17 +417,19 @@
 			task, r.id.Run, worker, r.at.born, end.number, end.worker, end.born, end.at, c.meant, c.sent, c.late)
 	}
 	s.running[task] = append(s.running[task], r)
-	s.checkLimit(r)
+	s.checkLimit(r, c)
 	s.record(worker, task, "run %d RUNS, incarnation %d, lease until %d, clock %d, stray %v", r.id.Run, r.at.born, r.at.leaseEnd, r.at.clockMS(), r.stray)
 }
 
 // checkLimit checks how many tasks run at the start of a run. The workers check their own capacity.
-func (s *schedule) checkLimit(r *simRun) {
+func (s *schedule) checkLimit(r *simRun, c *call) {
 	kind, tasks := overLimit, 0
 	for _, live := range s.running {
 		tasks += len(live)
-		if slices.ContainsFunc(live, func(o *simRun) bool { return o.stray }) {
-			kind = strayOverLimit
+		for _, other := range live {
+			if other.stray && !c.from.knows(other, c.sent) {
+				kind = strayOverLimit
+			}
 		}
 	}
 	if tasks > simTaskLimit {
--- a/internal/control/runs/simleader_test.go
+++ b/internal/control/runs/simleader_test.go
@@ -29,7 +29,7 @@
 
 // elect starts the leader of a new term.
 func (s *schedule) elect() {
-	s.lastTerm += (1 + uint64(s.random("term", s.lastTerm).IntN(3))) << 20
+	s.lastTerm += (1 + uint64(s.random("term", s.lastTerm).IntN(3))) << 32
 	l := &simLeader{s: s, term: s.lastTerm, listed: make(map[*simRun]time.Duration)}
 	s.leader = l
 	s.record("", pj.TaskID{}, "leader of term %d elected", l.term)
@@ -57,6 +57,12 @@
 	l.s.leader = nil
 }
 
+// knows reports whether an answer that lists a run had arrived here by the given time.
+func (l *simLeader) knows(r *simRun, by time.Duration) bool {
+	at, ok := l.listed[r]
+	return ok && at <= by
+}
+
 // Serving implements runs.Group.
 func (l *simLeader) Serving() bool { return !l.closed }
 
