--- a/internal/control/runs/lives_test.go
+++ b/internal/control/runs/lives_test.go
@@ -400,12 +400,12 @@
 
 // isStray reports whether a start is carried out seconds late by another incarnation than the one it was meant for, before any call that
 // was meant for that incarnation was carried out there. No leader can have told that incarnation to refuse it.
-func isStray(c *call, l *simIncarnation) bool {
+func isStray(c *simCall, l *simIncarnation) bool {
 	return c.late && c.meant != l.born && !l.addressed
 }
 
 // checkStart checks a run that starts now.
-func (s *schedule) checkStart(r *simRun, c *call) {
+func (s *schedule) checkStart(r *simRun, c *simCall) {
 	r.stray = isStray(c, r.at)
 	task, worker := r.id.Task, r.at.worker.id
 	for _, other := range s.running[task] {
@@ -426,7 +426,7 @@
 
 // checkStartAfter checks a run that starts after one of its task has ended as done. While that end isn't acknowledged, the start is
 // reported once it is.
-func (s *schedule) checkStartAfter(end *doneEnd, r *simRun, c *call) {
+func (s *schedule) checkStartAfter(end *doneEnd, r *simRun, c *simCall) {
 	read := end.readAt != 0 && end.readAt <= c.sent
 	acknowledged, startedAt := end.ackedAt != 0, s.clock.now
 	report := func() {
@@ -458,7 +458,7 @@
 
 // checkLimits checks how many tasks run at the start of a run: on its worker, which may not guard its capacity, and of the workspace, which may
 // have one more than its limit.
-func (s *schedule) checkLimits(r *simRun, c *call) {
+func (s *schedule) checkLimits(r *simRun, c *simCall) {
 	unknown := func(o *simRun) bool { return o.stray && !c.from.knows(o, c.sent) }
 	kind := overCapacity
 	if r.stray || slices.ContainsFunc(r.at.runs, unknown) {
@@ -507,7 +507,7 @@
 }
 
 // endAcknowledged notes that an end was acknowledged at the incarnation where it is listed.
-func (s *schedule) endAcknowledged(l *simIncarnation, e pj.EndedRun, c *call) {
+func (s *schedule) endAcknowledged(l *simIncarnation, e pj.EndedRun, c *simCall) {
 	s.record(l.worker.id, e.Run.Task, "end %d of run %d (%s) acknowledged by a poll of term %d, meant for %d, here %d", e.Number, e.Run.Run, e.Outcome, c.from.term, c.meant, l.born)
 	end := s.ended[endKey{worker: l.worker.id, born: l.born, number: e.Number}]
 	if end == nil {
--- a/internal/control/runs/simleader_test.go
+++ b/internal/control/runs/simleader_test.go
@@ -89,17 +89,17 @@
 
 // Start implements runs.Orders.
 func (l *simLeader) Start(w pj.PolledWorker, o pj.StartRequest, done func(int64, error)) {
-	l.send(w, &call{kind: callStart, run: o.Run, fence: o.Fence, untilMS: o.LeaseUntilMS, limit: orderLimit, done: func(r pj.PollResponse, err error) { done(r.ClockMS, err) }})
+	l.send(w, &simCall{kind: callStart, run: o.Run, fence: o.Fence, untilMS: o.LeaseUntilMS, limit: orderLimit, done: func(r pj.PollResponse, err error) { done(r.ClockMS, err) }})
 }
 
 // Stop implements runs.Orders.
 func (l *simLeader) Stop(w pj.PolledWorker, run pj.RunID, fence uint64, done func(int64, error)) {
-	l.send(w, &call{kind: callStop, run: run, fence: fence, limit: orderLimit, done: func(r pj.PollResponse, err error) { done(r.ClockMS, err) }})
+	l.send(w, &simCall{kind: callStop, run: run, fence: fence, limit: orderLimit, done: func(r pj.PollResponse, err error) { done(r.ClockMS, err) }})
 }
 
 // Poll implements runs.Orders.
 func (l *simLeader) Poll(w pj.PolledWorker, r pj.PollRequest, done func(pj.PollResponse, error)) {
-	l.send(w, &call{kind: callPoll, fence: r.Fence, untilMS: r.LeaseUntilMS, ack: r.Ack, maxWait: r.MaxWait, limit: r.MaxWait + pollLimit, done: done})
+	l.send(w, &simCall{kind: callPoll, fence: r.Fence, untilMS: r.LeaseUntilMS, ack: r.Ack, maxWait: r.MaxWait, limit: r.MaxWait + pollLimit, done: done})
 }
 
 // Pace implements runs.Orders. The simulation's queues have no response time targets, so that nothing is paced.
@@ -112,8 +112,8 @@
 	done(pj.Advice{}, errNoAnswer)
 }
 
-// call is a call from a leader to a worker.
-type call struct {
+// simCall is a call from a leader to a worker.
+type simCall struct {
 	from    *simLeader
 	to      *simWorker
 	kind    string
@@ -133,7 +133,7 @@
 }
 
 // send sends a call, which takes one of its possible ways.
-func (l *simLeader) send(w pj.PolledWorker, c *call) {
+func (l *simLeader) send(w pj.PolledWorker, c *simCall) {
 	s := l.s
 	key := fmt.Sprint(w.ID, c.kind, c.run)
 	s.calls[key]++
@@ -156,12 +156,12 @@
 }
 
 // transit returns how long the call or its answer is on its way.
-func (c *call) transit() time.Duration {
+func (c *simCall) transit() time.Duration {
 	return 500*time.Microsecond + time.Duration(c.random.Int64N(int64(29500*time.Microsecond)))
 }
 
 // arrive carries the call out at the incarnation that is there now.
-func (c *call) arrive() {
+func (c *simCall) arrive() {
 	s, l := c.from.s, c.to.current
 	now := s.clock.now
 	switch {
@@ -180,7 +180,7 @@
 }
 
 // answer sends the answer of an incarnation.
-func (c *call) answer(l *simIncarnation, r pj.PollResponse, err error) {
+func (c *simCall) answer(l *simIncarnation, r pj.PollResponse, err error) {
 	if c.lost {
 		return
 	}
@@ -193,14 +193,14 @@
 }
 
 // connectionClosed tells the leader that the connection was closed before there was an answer, unless connections outlive restarts.
-func (c *call) connectionClosed(w *simWorker) {
+func (c *simCall) connectionClosed(w *simWorker) {
 	if !c.from.s.mix.keep && !c.lost && !w.answersCut(c.from.s.clock.now) {
 		c.deliver(pj.PollResponse{}, errNoAnswer)
 	}
 }
 
 // deliver brings an answer to the leader, unless it is lost.
-func (c *call) deliver(r pj.PollResponse, err error, listed ...*simRun) {
+func (c *simCall) deliver(r pj.PollResponse, err error, listed ...*simRun) {
 	s := c.from.s
 	if c.to.answersCut(s.clock.now) {
 		return
@@ -220,7 +220,7 @@
 	})
 }
 
-func (c *call) finish(r pj.PollResponse, err error) {
+func (c *simCall) finish(r pj.PollResponse, err error) {
 	if c.over {
 		return
 	}
--- a/internal/control/runs/simworker_test.go
+++ b/internal/control/runs/simworker_test.go
@@ -67,7 +67,7 @@
 
 // heldPoll is a poll whose answer waits for an end.
 type heldPoll struct {
-	call     *call
+	call     *simCall
 	answered bool
 }
 
@@ -94,7 +94,7 @@
 }
 
 // execute carries out a call that arrives now.
-func (l *simIncarnation) execute(c *call) {
+func (l *simIncarnation) execute(c *simCall) {
 	l.s.record(l.worker.id, c.run.Task, "%s from term %d carried out: run %d, token %d (highest %d), meant for %d, here %d, clock %d, lease until %d (had %d), ack %d, late %v, sent at %s",
 		c.kind, c.from.term, c.run.Run, c.fence, l.fence, c.meant, l.born, l.clockMS(), c.untilMS, l.leaseEnd, c.ack, c.late, c.sent)
 	if c.fence < l.fence {
@@ -135,7 +135,7 @@
 	}
 }
 
-func (l *simIncarnation) start(c *call) {
+func (l *simIncarnation) start(c *simCall) {
 	clockMS := l.clockMS()
 	response := pj.PollResponse{ClockMS: clockMS}
 	task := c.run.Task
@@ -165,7 +165,7 @@
 	}
 }
 
-func (l *simIncarnation) stop(c *call) {
+func (l *simIncarnation) stop(c *simCall) {
 	l.newest[c.run.Task] = max(l.newest[c.run.Task], c.run.Run)
 	if r := l.find(c.run); r != nil && !r.stopping {
 		r.stopping = true
@@ -175,7 +175,7 @@
 	c.answer(l, pj.PollResponse{ClockMS: l.clockMS()}, nil)
 }
 
-func (l *simIncarnation) poll(c *call) {
+func (l *simIncarnation) poll(c *simCall) {
 	l.renew(c.untilMS)
 	l.acknowledge(c)
 	if c.maxWait == 0 || len(l.ends) > 0 {
@@ -188,7 +188,7 @@
 }
 
 // acknowledge forgets ends up to the acknowledged number.
-func (l *simIncarnation) acknowledge(c *call) {
+func (l *simIncarnation) acknowledge(c *simCall) {
 	l.ends = slices.DeleteFunc(l.ends, func(e pj.EndedRun) bool {
 		if e.Number > c.ack {
 			return false
