--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -108,7 +108,7 @@
 
 // AddGroup starts this VM's member of a group with the state recovered from disk. onLeadershipChange is
 // called when the member starts or stops leading with an up-to-date state, onApply after each change
-// of the state. Both may be nil.
+// of the state and before its result is reported. Both may be nil.
 func (h *Host) AddGroup(name string, rank int, state pj.StateMachine, recovered pj.RecoveredState,
 	onLeadershipChange func(serving bool, term uint64), onApply func(),
 ) *Group {
@@ -336,9 +336,7 @@
 	}
 	if len(r.Committed) > 0 || r.Snapshot != nil {
 		g.maybeSnapshot()
-		if g.onApply != nil {
-			g.onApply()
-		}
+		g.useState()
 	}
 	for _, id := range r.Reads {
 		if done, ok := g.pendingReads[id]; ok {
@@ -374,9 +372,17 @@
 		p.done(pj.CommitResult{Err: ErrOutcomeUnknown})
 		return
 	}
+	g.useState()
 	p.done(pj.CommitResult{Value: result})
 }
 
+// useState calls onApply.
+func (g *Group) useState() {
+	if g.onApply != nil {
+		g.onApply()
+	}
+}
+
 // maybeSnapshot snapshots the state and compacts the log if the log has grown enough.
 func (g *Group) maybeSnapshot() {
 	entries := g.applied - g.snapshotIndex
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -398,6 +398,31 @@
 	is.Equal(len(errs), 2)
 }
 
+// TestResultFollowsUse guards against an answer about a change that isn't in force yet on the VM that gives it: a caller that had read it was
+// still served by the configuration before.
+func TestResultFollowsUse(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Minute}
+	host := replica.New(replica.Options{VM: "a", Incarnation: "1", Saver: &memoryDisk{}, Transport: newTestNetwork(), Clock: clock})
+	only := pj.RecoveredState{Snapshot: &pj.LogSnapshot{Index: 1, Term: 1, Membership: pj.Membership{Voters: []string{"a/1"}}}}
+	var group *replica.Group
+	var used uint64 // index up to which the VM uses the state
+	group = host.AddGroup("g", 0, &snapshotSizeCounter{}, only, nil, func() { used = group.Applied() })
+	results := 0
+	for range 100 {
+		clock.now += time.Second
+		host.Tick()
+		group.Commit([]byte("c"), func(r pj.CommitResult) {
+			if r.Err == nil {
+				results++
+				is.Equal(used, group.Applied())
+			}
+		})
+		host.Flush()
+	}
+	is.True(results > 0)
+}
+
 // memoryStore is a pj.LogStore that returns one recovered state.
 type memoryStore struct{ recovered pj.RecoveredState }
 
