--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -43,6 +43,14 @@
 	c.ledger.Charge(s.workspace, s.amount)
 }
 
+// holdListedStrays holds the stray runs in an answer that isn't reconciled, because the poll was meant for another incarnation.
+func (c *Controller) holdListedStrays(w *worker, running []pj.RunStatus) {
+	now := c.options.Clock.Now()
+	for i := range running {
+		c.holdStray(now, w, running[i].Run)
+	}
+}
+
 // unfinished reports whether a run is of a task that may have to run again.
 func (c *Controller) unfinished(id pj.RunID) bool {
 	r := c.options.State.Record(id.Task.Workflow)
--- a/internal/control/runs/stray_test.go
+++ b/internal/control/runs/stray_test.go
@@ -98,32 +98,43 @@
 	x.is.Equal(again[0].run.Run, 2)
 }
 
-// TestStrayRunSeenWithRestart guards against the same if the answer that shows a restart lists the run.
+// TestStrayRunSeenWithRestart guards against the same if the answer of the next incarnation to a poll that was meant for the earlier one lists
+// the run, whether it shows the restart or comes after the announcement that did.
 func TestStrayRunSeenWithRestart(t *testing.T) {
-	x := newCell(t, 1)
-	x.submit("a", oneTask())
-	start := x.orders.take("start")[0]
-	x.loseRun(start)
-	x.advance(300 * time.Millisecond)
-	for _, o := range x.orders.take("poll") {
-		o.answerPoll(x.listed(testIncarnation+1, time.Hour, []pj.RunStatus{{Run: start.run}}), nil)
-	}
-	x.is.NoErr(x.announce(testWorker("w1")))
-	for range 3 {
-		x.advance(100 * time.Millisecond)
-		x.answerPollsOf("w1")
-		x.is.Equal(len(x.orders.take("start")), 0)
-	}
-	x.advance(300 * time.Millisecond)
-	for _, o := range x.orders.take("poll") {
-		if o.worker == "w0" {
-			o.answerPoll(x.listed(testIncarnation+1, time.Hour, nil), nil)
-			continue
-		}
-		o.answerPoll(x.listed(testIncarnation, 0, nil), nil)
+	for name, announced := range map[string]bool{"by the answer": false, "by the announcement before": true} {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 1)
+			x.submit("a", oneTask())
+			start := x.orders.take("start")[0]
+			x.loseRun(start)
+			x.advance(300 * time.Millisecond)
+			polls := x.orders.take("poll")
+			if announced {
+				w := testWorker("w0")
+				w.Incarnation++
+				x.is.NoErr(x.announce(w))
+			}
+			for _, o := range polls {
+				o.answerPoll(x.listed(testIncarnation+1, time.Hour, []pj.RunStatus{{Run: start.run}}), nil)
+			}
+			x.is.NoErr(x.announce(testWorker("w1")))
+			for range 3 {
+				x.advance(100 * time.Millisecond)
+				x.answerPollsOf("w1")
+				x.is.Equal(len(x.orders.take("start")), 0)
+			}
+			x.advance(300 * time.Millisecond)
+			for _, o := range x.orders.take("poll") {
+				if o.worker == "w0" {
+					o.answerPoll(x.listed(testIncarnation+1, time.Hour, nil), nil)
+					continue
+				}
+				o.answerPoll(x.listed(testIncarnation, 0, nil), nil)
+			}
+			x.flush()
+			x.is.Equal(len(x.orders.take("start")), 1)
+		})
 	}
-	x.flush()
-	x.is.Equal(len(x.orders.take("start")), 1)
 }
 
 // TestStrayRunUsesCapacity guards against too much on a worker: a run that is being stopped there isn't in the accounts.
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -306,8 +306,14 @@
 		w.acksOpen++
 	}
 	c.options.Orders.Poll(w.PolledWorker, request, func(response pj.PollResponse, err error) {
-		if c.closed || c.workers[w.ID] != w || w.Incarnation != incarnation {
-			return // the answer may be from an earlier incarnation
+		if c.closed || c.workers[w.ID] != w {
+			return
+		}
+		if w.Incarnation != incarnation { // the answer may be from an earlier one
+			if err == nil && response.Incarnation == w.Incarnation {
+				c.holdListedStrays(w, response.Running)
+			}
+			return
 		}
 		*inFlight = false
 		w.acknowledged(request, err)
@@ -335,9 +341,7 @@
 	if response.Incarnation != 0 && response.Incarnation != w.Incarnation {
 		w.nextPollAt = now + pollRetryDelay
 		if c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
-			for i := range response.Running {
-				c.holdStray(now, w, response.Running[i].Run)
-			}
+			c.holdListedStrays(w, response.Running)
 			w.nextPollAt = now
 			c.poll(w) // with the raised token: before that, calls that were meant for the earlier incarnation may change what this one lists
 		}
