Runs: a test of an answer by an incarnation that has been announced meanwhile

A poll for the former incarnation is answered by the next one, which lists a stray run; in between the leader has learned of that incarnation by its announcement, so sendPoll drops the answer, and the task starts elsewhere while the polls with the raised token get no answer.

--- a/internal/control/runs/successor_test.go
+++ b/internal/control/runs/successor_test.go
@@ -71,3 +71,53 @@
 		})
 	}
 }
+
+// TestAnswerOfAnnouncedIncarnation guards against a task on two workers: a poll that was meant for a worker's former incarnation is answered by
+// the next one, which lists a run whose start was carried out late. The answer arrives when that incarnation has already announced itself, and
+// polls that are meant for it get no answer.
+func TestAnswerOfAnnouncedIncarnation(t *testing.T) {
+	x := newCell(t, 2)
+	x.submit("a", wholeWorker())
+	first := x.orders.take("start")[0]
+	first.answer(nil)
+	x.publishLimit(pj.NewResources(1, 1, 0, 0)) // the task can't start again yet
+	for range 2 {                               // the run isn't listed and counts as lost
+		x.advance(100 * time.Millisecond)
+		x.answerPolls(nil)
+	}
+	x.advance(50 * time.Millisecond)
+	var held *order
+	for _, o := range x.orders.take("poll") {
+		if o.worker == first.worker {
+			held = o
+			continue
+		}
+		o.answerPoll(pj.PollResponse{}, errNoAnswer)
+	}
+	x.advance(2 * time.Second) // nobody answers
+	incarnation := testIncarnation + 1
+	x.is.NoErr(x.announce(announced(first.worker, func(w *pj.PolledWorker) { w.Incarnation, w.Sequence = incarnation, 1 })))
+	held.answerPoll(pj.PollResponse{Incarnation: incarnation, ClockMS: x.clock.now.Milliseconds() + 1, Running: []pj.RunStatus{{Run: first.run}}}, nil)
+	x.publishLimit(pj.NewResources(1000, 1000, 0, 0))
+	other := otherThan(first.worker)
+	var again []*order
+	for range 20 {
+		x.advance(50 * time.Millisecond)
+		x.answerPollsOf(other)
+		again = append(again, x.orders.take("start")...)
+	}
+	x.is.Equal(len(again), 0)
+	for i := 0; len(again) == 0 && i < 20; i++ {
+		x.advance(50 * time.Millisecond)
+		for _, o := range x.orders.take("poll") {
+			if o.worker == first.worker && o.incarnation == incarnation { // the run has ended
+				o.answerPoll(pj.PollResponse{Incarnation: incarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
+				continue
+			}
+			o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
+		}
+		x.flush()
+		again = x.orders.take("start")
+	}
+	x.is.Equal(len(again), 1)
+}
