Runs: an end as done in an answer that isn't reconciled must hold its task, too

Only its running runs hold their tasks; the task starts again, and the end is read and acknowledged later (TWICE: a start after an end as done that is taken note of later).

--- a/internal/control/runs/successor_test.go
+++ b/internal/control/runs/successor_test.go
@@ -72,52 +72,78 @@
 	}
 }
 
-// TestAnswerOfAnnouncedIncarnation guards against a task on two workers: a poll that was meant for a worker's former incarnation is answered by
-// the next one, which lists a run whose start was carried out late. The answer arrives when that incarnation has already announced itself, and
-// polls that are meant for it get no answer.
+// TestAnswerOfAnnouncedIncarnation guards against a task that runs twice: a poll that was meant for a worker's former incarnation is answered by
+// the next one, which lists a run whose start was carried out late, or its end. The answer shows the restart, or arrives when that incarnation
+// has already announced itself. Polls that are meant for it get no answer for a while.
 func TestAnswerOfAnnouncedIncarnation(t *testing.T) {
-	x := newCell(t, 2)
-	x.submit("a", wholeWorker())
-	first := x.orders.take("start")[0]
-	first.answer(nil)
-	x.publishLimit(pj.NewResources(1, 1, 0, 0)) // the task can't start again yet
-	for range 2 {                               // the run isn't listed and counts as lost
-		x.advance(100 * time.Millisecond)
-		x.answerPolls(nil)
+	running := func(run pj.RunID) pj.PollResponse { return pj.PollResponse{Running: []pj.RunStatus{{Run: run}}} }
+	ended := func(run pj.RunID) pj.PollResponse {
+		return pj.PollResponse{Finished: []pj.EndedRun{{Number: 1, Run: run, Outcome: pj.EndDone}}}
 	}
-	x.advance(50 * time.Millisecond)
-	var held *order
-	for _, o := range x.orders.take("poll") {
-		if o.worker == first.worker {
-			held = o
-			continue
-		}
-		o.answerPoll(pj.PollResponse{}, errNoAnswer)
-	}
-	x.advance(2 * time.Second) // nobody answers
-	incarnation := testIncarnation + 1
-	x.is.NoErr(x.announce(announced(first.worker, func(w *pj.PolledWorker) { w.Incarnation, w.Sequence = incarnation, 1 })))
-	held.answerPoll(pj.PollResponse{Incarnation: incarnation, ClockMS: x.clock.now.Milliseconds() + 1, Running: []pj.RunStatus{{Run: first.run}}}, nil)
-	x.publishLimit(pj.NewResources(1000, 1000, 0, 0))
-	other := otherThan(first.worker)
-	var again []*order
-	for range 20 {
-		x.advance(50 * time.Millisecond)
-		x.answerPollsOf(other)
-		again = append(again, x.orders.take("start")...)
+	tests := map[string]struct {
+		lists          func(run pj.RunID) pj.PollResponse
+		announcedFirst bool
+	}{
+		"a run, after the announcement":   {lists: running, announcedFirst: true},
+		"a run, before the announcement":  {lists: running},
+		"an end, after the announcement":  {lists: ended, announcedFirst: true},
+		"an end, before the announcement": {lists: ended},
 	}
-	x.is.Equal(len(again), 0)
-	for i := 0; len(again) == 0 && i < 20; i++ {
-		x.advance(50 * time.Millisecond)
-		for _, o := range x.orders.take("poll") {
-			if o.worker == first.worker && o.incarnation == incarnation { // the run has ended
-				o.answerPoll(pj.PollResponse{Incarnation: incarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
-				continue
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 2)
+			x.submit("a", wholeWorker())
+			first := x.orders.take("start")[0]
+			first.answer(nil)
+			x.publishLimit(pj.NewResources(1, 1, 0, 0)) // the task can't start again yet
+			for range 2 {                               // the run isn't listed and counts as lost
+				x.advance(100 * time.Millisecond)
+				x.answerPolls(nil)
 			}
-			o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
-		}
-		x.flush()
-		again = x.orders.take("start")
+			x.advance(50 * time.Millisecond)
+			var held *order
+			for _, o := range x.orders.take("poll") {
+				if o.worker == first.worker {
+					held = o
+					continue
+				}
+				o.answerPoll(pj.PollResponse{}, errNoAnswer)
+			}
+			x.advance(2 * time.Second) // nobody answers
+			incarnation := testIncarnation + 1
+			restarted := announced(first.worker, func(w *pj.PolledWorker) { w.Incarnation, w.Sequence = incarnation, 1 })
+			if tc.announcedFirst {
+				x.is.NoErr(x.announce(restarted))
+			}
+			response := tc.lists(first.run)
+			response.Incarnation, response.ClockMS = incarnation, x.clock.now.Milliseconds()+1
+			held.answerPoll(response, nil)
+			x.publishLimit(pj.NewResources(1000, 1000, 0, 0))
+			other := otherThan(first.worker)
+			for range 20 {
+				x.advance(50 * time.Millisecond)
+				x.answerPollsOf(other)
+				x.is.Equal(len(x.orders.take("start")), 0)
+			}
+			if !tc.announcedFirst {
+				x.is.NoErr(x.announce(restarted))
+			}
+			for range 20 { // the run has been stopped, or its end is read
+				x.advance(50 * time.Millisecond)
+				for _, o := range x.orders.take("poll") {
+					response := pj.PollResponse{Incarnation: testIncarnation}
+					if o.worker == first.worker {
+						response = pj.PollResponse{Incarnation: incarnation, Finished: tc.lists(first.run).Finished}
+					}
+					response.ClockMS = x.clock.now.Milliseconds() + 1
+					o.answerPoll(response, nil)
+				}
+				x.flush()
+			}
+			done := x.state("a") == pj.WorkflowComplete
+			starts := len(x.orders.take("start"))
+			x.is.True(done != (starts > 0)) // the end finishes the task; else it starts again
+			x.is.Equal(done, len(tc.lists(first.run).Finished) > 0)
+		})
 	}
-	x.is.Equal(len(again), 1)
 }
