Runs: an end as done in an answer that isn't reconciled holds its task

Callers could see: a task that was done runs again.

Cause: the answer of the next incarnation to a poll that was meant for the former one isn't reconciled; it held the tasks of stray runs that it lists as running, not those that it lists as done. The task could start elsewhere before the next answer, whose end was then acknowledged.

--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -43,11 +43,17 @@
 	c.ledger.Charge(s.workspace, s.amount)
 }
 
-// holdListedStrays holds the stray runs in an answer that isn't reconciled, because the poll was meant for another incarnation.
-func (c *Controller) holdListedStrays(w *worker, running []pj.RunStatus) {
+// holdListed holds the tasks of stray runs, and of those that ended as done, in an answer that isn't reconciled, because the poll was meant for
+// another incarnation.
+func (c *Controller) holdListed(w *worker, response *pj.PollResponse) {
 	now := c.options.Clock.Now()
-	for i := range running {
-		c.holdStray(now, w, running[i].Run)
+	for i := range response.Running {
+		c.holdStray(now, w, response.Running[i].Run)
+	}
+	for i := range response.Finished {
+		if end := &response.Finished[i]; c.lateDone(end) {
+			c.holdStray(now, w, end.Run)
+		}
 	}
 }
 
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -311,7 +311,7 @@
 		}
 		if w.Incarnation != incarnation { // the answer may be from an earlier one
 			if err == nil && response.Incarnation == w.Incarnation {
-				c.holdListedStrays(w, response.Running)
+				c.holdListed(w, &response)
 			}
 			return
 		}
@@ -341,7 +341,7 @@
 	if response.Incarnation != 0 && response.Incarnation != w.Incarnation {
 		w.nextPollAt = now + pollRetryDelay
 		if c.handleRestart(now, w, response.Incarnation, response.ClockMS) {
-			c.holdListedStrays(w, response.Running)
+			c.holdListed(w, &response)
 			w.nextPollAt = now
 			c.poll(w) // with the raised token: before that, calls that were meant for the earlier incarnation may change what this one lists
 		}
