Soak: connections and calls that outlive restarts of workers

PlanOutlive draws this: such calls with a restart meanwhile, and around each fault of a replica a quarter of the workers that restart and are then cut off for longer than a lease. One job in 16 has tasks of 5 s.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 	maxSubmitAttempts = 20
 	firstStepTasks    = 3
 	apiKey            = "key-1"
+	longTaskOneIn     = 16              // on average, the tasks of one job in this many take longTaskTime, if run times vary
+	longTaskTime      = 5 * time.Second // most of a lease
 )
 
 // job is the state of one job as its caller observes it.
@@ -125,6 +128,17 @@
 	}}
 }
 
+// variedRunTime returns the run time of a task: some go on for most of a lease, so that they run at the time at which another worker may be
+// told to run them.
+func variedRunTime(task pj.TaskID) time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(task.Workflow))
+	if hash.Sum32()%longTaskOneIn == 0 {
+		return longTaskTime
+	}
+	return taskRunTime
+}
+
 // newRuleset returns a version of the ruleset. Versions differ in the timeout of the route for jobs, and each has a route and a
 // key of its own.
 func newRuleset(version int64) *pj.Ruleset {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -13,7 +13,7 @@
 // Kind is the kind of a fault.
 type Kind string
 
-// The kinds of fault. The script carries out the first four, the proxies those from Refuse to Reset, the stand-in workers the last two.
+// The kinds of fault. The script carries out the first four, the proxies those from Refuse to Reset, the stand-in workers the others.
 const (
 	Kill               Kind = "kill"    // SIGKILL, then a start with the same disk
 	Wipe               Kind = "wipe"    // SIGKILL, then a start with an empty disk
@@ -25,13 +25,14 @@
 	Reset              Kind = "reset"   // existing connections to the VM are closed once
 	WorkerUnresponsive Kind = "hush"    // a worker responds to no requests
 	WorkerRestart      Kind = "reborn"  // a worker responds to no requests, then restarts under its id, with another clock
+	WorkerLate         Kind = "late"    // a share of the calls to a worker gets no answer and is carried out later, whatever happens to the worker meanwhile
 )
 
 // Fault is one fault of a plan. At is its start, from the start of the run.
 type Fault struct {
 	At       time.Duration
 	Duration time.Duration
-	Target   string // name of a VM, or id of a worker for WorkerUnresponsive and WorkerRestart
+	Target   string // name of a VM, or id of a worker for the kinds of fault of workers
 	Kind
 }
 
@@ -54,6 +55,19 @@
 
 	meanRestartInterval = 1200 * time.Millisecond // of workers
 	restartStream       = 6                       // of the random numbers for restarts of workers
+
+	outliveStream     = 9                      // of the random numbers for calls that outlive their addressee
+	outliveInterval   = 7 * time.Second        // mean interval between a worker's faults of this kind
+	minOutliveSpacing = 300 * time.Millisecond // between such faults in a large cell
+	minLateTime       = time.Second
+	maxLateTime       = 4 * time.Second
+	maxCrashDelay     = 3 * time.Second       // from the start of late calls to the crash
+	minRebirthTime    = 50 * time.Millisecond // from the crash to the restart
+	maxRebirthTime    = 800 * time.Millisecond
+	crashesWithFault  = 4               // with each fault of a replica, one worker in this many restarts shortly before and is cut off afterwards
+	maxCutDelay       = 2 * time.Second // from a replica's fault until these workers are cut off
+	minCutTime        = 7 * time.Second // longer than a lease
+	maxCutTime        = 9 * time.Second
 )
 
 // Plan draws the faults of a run from a seed. Replicas fail one at a time, which a group of three must tolerate; faults of
@@ -92,3 +106,29 @@
 	}
 	return plan
 }
+
+// PlanOutlive draws faults in which calls to a worker outlive it: some calls are carried out late, and the worker restarts meanwhile. Around
+// each fault of a replica, which may be the leader, several workers restart and are cut off afterwards for longer than a lease. These faults have
+// random numbers of their own, like those of PlanRestarts.
+func PlanOutlive(seed uint64, duration time.Duration, replicaFaults []Fault, workers []string) []Fault {
+	r := rand.New(rand.NewPCG(seed, outliveStream)) //nolint:gosec // not for secrets
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
+	var plan []Fault
+	crash := func(at time.Duration, worker string) {
+		plan = append(plan,
+			Fault{At: max(at-upTo(maxCrashDelay), 0), Duration: minLateTime + upTo(maxLateTime-minLateTime), Target: worker, Kind: WorkerLate},
+			Fault{At: at, Duration: minRebirthTime + upTo(maxRebirthTime-minRebirthTime), Target: worker, Kind: WorkerRestart},
+		)
+	}
+	interval := max(outliveInterval/time.Duration(len(workers)), minOutliveSpacing)
+	for at := warmUp; at < duration-coolDown; at += time.Duration(r.ExpFloat64() * float64(interval)) {
+		crash(at, workers[r.IntN(len(workers))])
+	}
+	for _, f := range replicaFaults {
+		for _, i := range r.Perm(len(workers))[:len(workers)/crashesWithFault] {
+			crash(f.At-upTo(maxCrashDelay), workers[i])
+			plan = append(plan, Fault{At: f.At + upTo(maxCutDelay), Duration: minCutTime + upTo(maxCutTime-minCutTime), Target: workers[i], Kind: WorkerUnresponsive})
+		}
+	}
+	return plan
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,6 +23,7 @@
 	Client            Client
 	NewWorker         NewWorker
 	WorkerRestarts    bool // workers also restart under their ids
+	OutlivingCalls    bool // connections and calls may outlive restarts of workers
 }
 
 // Run injects the faults of a seed's plan into the cell. It writes the instructions for the script to instructions and its log
@@ -34,7 +35,14 @@
 	fleet := polledworker.New(workers, taskRunTime)
 	l := newLoad(o.Seed, o.Size, o.Client, fleet)
 	fleet.LimitLeases(runs.DefaultLease)
-	servers := newWorkerServers(l, o.NewWorker, o.Seed)
+	var late *lateCalls
+	if o.OutlivingCalls {
+		late = newLateCalls(o.Seed)
+		fleet.CountMisread()
+		fleet.VaryRunTimes(variedRunTime)
+		late.setClocks(fleet, workers)
+	}
+	servers := newWorkerServers(l, o.NewWorker, o.Seed, late)
 	for _, w := range workers {
 		if err := servers.serve(ctx, w.ID, w.Address); err != nil {
 			return nil, err
@@ -69,11 +77,7 @@
 		l.submitJobs(loadCtx)
 	}()
 
-	plan := Plan(o.Seed, o.Duration, o.Size.vmNames(replicaRole), o.Size.vmNames(entryRole), workerIDs)
-	if o.WorkerRestarts {
-		plan = append(plan, PlanRestarts(o.Seed, o.Duration, workerIDs)...)
-		slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
-	}
+	plan := o.plan(workerIDs)
 	started := time.Now()
 	var faults sync.WaitGroup
 	for _, f := range plan {
@@ -89,11 +93,31 @@
 	<-submitting
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
 	l.checkUse()
+	if late != nil {
+		misread := fleet.Misread()
+		held, refused := late.counts()
+		_, _ = fmt.Fprintf(out, "late_calls=%d late_refused=%d long_leases=%d unknown_acks=%d\n", held, refused, misread.LongLeases, misread.UnknownAcks)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Concat(l.violations, fleet.Violations()), nil
 }
 
+// plan returns the faults of the run in the order of their starts.
+func (o *Options) plan(workers []string) []Fault {
+	replicas := o.Size.vmNames(replicaRole)
+	plan := Plan(o.Seed, o.Duration, replicas, o.Size.vmNames(entryRole), workers)
+	replicaFaults := slices.DeleteFunc(slices.Clone(plan), func(f Fault) bool { return !slices.Contains(replicas, f.Target) })
+	if o.WorkerRestarts {
+		plan = append(plan, PlanRestarts(o.Seed, o.Duration, workers)...)
+	}
+	if o.OutlivingCalls {
+		plan = append(plan, PlanOutlive(o.Seed, o.Duration, replicaFaults, workers)...)
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	return plan
+}
+
 // stopTimeout is how long a VM has to exit after SIGTERM; its settings have a grace period of 3 s.
 const stopTimeout = 3200 * time.Millisecond
 
@@ -108,16 +132,20 @@
 	}
 	switch f.Kind {
 	case WorkerUnresponsive:
-		l.fleet.SetUnresponsive(f.Target, true)
+		end := servers.silence(f.Target)
 		time.Sleep(f.Duration)
-		l.fleet.SetUnresponsive(f.Target, false)
+		end()
 	case WorkerRestart:
-		l.fleet.SetUnresponsive(f.Target, true)
+		end := servers.silence(f.Target)
 		time.Sleep(f.Duration)
 		if err := servers.restart(ctx, f.Target); err != nil {
 			l.recordViolation("worker %s can't restart: %v", f.Target, err)
 		}
-		l.fleet.SetUnresponsive(f.Target, false)
+		end()
+	case WorkerLate:
+		end := servers.late.begin(f.Target)
+		time.Sleep(f.Duration)
+		end()
 	case Refuse, Blackhole, Delay, Reset:
 		proxies[f.Target].setFault(f.Kind)
 		time.Sleep(f.Duration)
