--- a/internal/soak/late_test.go
+++ b/internal/soak/late_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// TestLatePollTellsNothing: a poll that is carried out late acknowledges, but what it lists is told to nobody.
+func TestLatePollTellsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := polledworker.New([]pj.PolledWorker{{ID: "w1", Incarnation: 1}, {ID: "w2", Incarnation: 1}}, time.Second)
+		late := newLateCalls(1)
+		client := &delayingClient{WorkerClient: fleet, unanswered: fleet.Unanswered(), calls: late}
+		first, second := &pj.PolledWorker{ID: "w1"}, &pj.PolledWorker{ID: "w2"}
+		task := pj.TaskID{StepID: pj.StepID{Workflow: jobID(1)}}
+		_, err := client.Start(t.Context(), first, pj.StartRequest{Run: pj.RunID{Task: task, Run: 1}, LeaseUntilMS: 1_000_000})
+		is.NoErr(err)
+		end := late.begin("w1")
+		for held := 0; held == 0; held, _ = late.counts() { // none is carried out at once before the run has finished
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			_, _ = client.Poll(ctx, first, pj.PollRequest{})
+			cancel()
+		}
+		end()
+		time.Sleep(maxLateDelay)
+		_, refused := late.counts()
+		is.Equal(refused, 0)
+		_, err = client.Start(t.Context(), second, pj.StartRequest{Run: pj.RunID{Task: task, Run: 2}, LeaseUntilMS: 1_000_000})
+		is.NoErr(err)
+		is.Equal(len(fleet.Violations()), 1)
+	})
+}
+
 // TestRestartOfServers: a restart closes the connections to a worker, or lets the next incarnation answer on them.
 func TestRestartOfServers(t *testing.T) {
 	newWorker := func(id string, client pj.WorkerClient) http.Handler {
--- a/internal/standin/polledworker/incarnation_test.go
+++ b/internal/standin/polledworker/incarnation_test.go
@@ -256,3 +256,29 @@
 		})
 	}
 }
+
+// TestRunTimeWithoutRequests: what became of a run doesn't depend on when the worker is called next.
+func TestRunTimeWithoutRequests(t *testing.T) {
+	w := &pj.PolledWorker{ID: "w0"}
+	tests := map[string]struct {
+		lease   time.Duration
+		outcome pj.RunOutcome
+	}{
+		"the lease is longer":  {lease: 3 * runTime, outcome: pj.EndDone},
+		"the lease is shorter": {lease: runTime / 2, outcome: pj.EndLeaseExpired},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fleet := polledworker.New([]pj.PolledWorker{{ID: "w0", Incarnation: 1}}, runTime)
+				_, err := fleet.Start(t.Context(), w, pj.StartRequest{Run: runOf("a", 1), LeaseUntilMS: test.lease.Milliseconds()})
+				is.NoErr(err)
+				time.Sleep(5 * runTime)
+				response, err := fleet.Poll(t.Context(), w, pj.PollRequest{})
+				is.NoErr(err)
+				is.Equal(response.Finished, []pj.EndedRun{{Number: 1, Run: runOf("a", 1), Outcome: test.outcome}})
+			})
+		})
+	}
+}
