--- a/internal/standin/polledworker/polledworker.go
+++ b/internal/standin/polledworker/polledworker.go
@@ -44,6 +44,7 @@
 type attempt struct {
 	worker     *worker
 	run        int
+	request    int       // number of the start among the requests that the worker's incarnation carried out
 	finishedAt time.Time // zero while it runs
 	reported   bool      // an answer has told that it finished
 }
@@ -327,7 +328,8 @@
 	for _, a := range f.attempts[run.Task] {
 		switch {
 		case a.finishedAt.IsZero():
-			f.violate(w, "task %s was running on %s when it was started on %s (runs %d and %d)", run.Task, a.worker.info.ID, w.info.ID, a.run, run.Run)
+			f.violate(w, "task %s was running on %s when it was started on %s (run %d, begun by request %d of incarnation %d, which has seen fence %d; and run %d)",
+				run.Task, a.worker.info.ID, w.info.ID, a.run, a.request, a.worker.info.Incarnation, a.worker.fence, run.Run)
 		case !a.reported:
 			f.violate(w, "task %s had finished on %s and no answer had told so when it was started on %s (runs %d and %d)", run.Task, a.worker.info.ID, w.info.ID, a.run, run.Run)
 		}
@@ -349,7 +351,7 @@
 		f.checkStart(w, r.Run)
 		f.renew(w, r.LeaseUntilMS)
 		w.runs[r.Run], f.lastStart[r.Run.Task] = time.Now(), time.Now()
-		f.attempts[r.Run.Task] = append(f.attempts[r.Run.Task], &attempt{worker: w, run: r.Run.Run})
+		f.attempts[r.Run.Task] = append(f.attempts[r.Run.Task], &attempt{worker: w, run: r.Run.Run, request: w.requests})
 		return nil
 	})
 }
