Event log: a process goes on logging after a second with dropped lines

Seen by operators: the log of a busy leader ends within seconds of its election, and goes on when the process ends.

Cause: after a second with dropped lines their report is the first in the empty buffer; the check for an empty buffer, which wakes the writer, came after it.

--- a/internal/server/eventlog/eventlog.go
+++ b/internal/server/eventlog/eventlog.go
@@ -67,6 +67,9 @@
 	event := eventOf(keyvals)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.buffer.Len() == 0 {
+		defer l.wakeWriter()
+	}
 	if now.Unix() != l.currentSecond {
 		if err := l.reportDrops(now); err != nil {
 			return err
@@ -81,15 +84,17 @@
 	}
 	l.linesThisSecond++
 	l.linesByEvent[event]++
-	if l.buffer.Len() == 0 {
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
-	}
 	return l.encoder.Log(append([]any{"ts", now.UTC().Format(timeFormat)}, keyvals...)...)
 }
 
+// wakeWriter makes the buffered lines be written.
+func (l *Log) wakeWriter() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // eventOf returns the value of the key event, which names the kind of a line.
 func eventOf(keyvals []any) string {
 	for i := 0; i+1 < len(keyvals); i += 2 {
--- a/internal/server/eventlog/eventlog_test.go
+++ b/internal/server/eventlog/eventlog_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
@@ -49,6 +51,27 @@
 	is.True(strings.HasSuffix(lines[1], ` event=b text="two words"`))
 }
 
+// TestLogGoesOnAfterDrops guards against a process that logs nothing any more: after a second with dropped lines the report of these was the first in the
+// empty buffer, and nothing woke the writer.
+func TestLogGoesOnAfterDrops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		log, closeLog := eventlog.New(&out, metrics.NewSet(), false)
+		defer closeLog()
+		for range 150 {
+			is.NoErr(log.Log("event", "frequent"))
+		}
+		for _, event := range []string{"first", "second"} {
+			time.Sleep(2 * time.Second)
+			is.NoErr(log.Log("event", event))
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			is.True(strings.Contains(out.String(), "event="+event))
+		}
+	})
+}
+
 // TestFrequentEvent: an event with thousands of lines in a second, such as each worker's first answer to a new leader, must not
 // push the lines of other events out of the log.
 func TestFrequentEvent(t *testing.T) {
