Runs: a start that is being committed isn't sent once an earlier run is known to be done

Callers could see: a task that was done runs again.

TestStartBehindLateDone fails on the commit before.

--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -13,7 +13,7 @@
 type stray struct {
 	worker    *worker
 	workspace string
-	amount    pj.Resources
+	amount    pj.Resources  // that it uses; zero if it has ended
 	listedAt  time.Duration // when the worker last listed it
 }
 
@@ -22,11 +22,11 @@
 	c.options.Events.Record("stray_run", "worker", w.ID, "run", id.Task, "number", id.Run)
 	c.options.Orders.Stop(w.PolledWorker, id, w.fence, func(int64, error) {})
 	w.strayAt = max(now, 1)
-	c.holdStray(now, w, id)
+	c.holdStray(now, w, id, true)
 }
 
-// holdStray keeps the task of a stray run from starting until the worker no longer lists it.
-func (c *Controller) holdStray(now time.Duration, w *worker, id pj.RunID) {
+// holdStray keeps the task of a stray run, or of one whose end as done isn't committed yet, from starting until the worker no longer lists it.
+func (c *Controller) holdStray(now time.Duration, w *worker, id pj.RunID, running bool) {
 	if w.runs[id] != nil || !c.unfinished(id) {
 		return
 	}
@@ -37,7 +37,10 @@
 		}
 	}
 	r := c.options.State.Record(id.Task.Workflow)
-	s := &stray{worker: w, workspace: r.Workflow.Workspace, amount: r.Workflow.Steps[id.Task.Step].Reservation(), listedAt: now}
+	s := &stray{worker: w, workspace: r.Workflow.Workspace, listedAt: now}
+	if running {
+		s.amount = r.Workflow.Steps[id.Task.Step].Reservation()
+	}
 	c.strays[id.Task] = append(c.strays[id.Task], s)
 	w.strays++
 	c.ledger.Charge(s.workspace, s.amount)
@@ -48,11 +51,11 @@
 func (c *Controller) holdListed(w *worker, response *pj.PollResponse) {
 	now := c.options.Clock.Now()
 	for i := range response.Running {
-		c.holdStray(now, w, response.Running[i].Run)
+		c.holdStray(now, w, response.Running[i].Run, true)
 	}
 	for i := range response.Finished {
 		if end := &response.Finished[i]; c.lateDone(end) {
-			c.holdStray(now, w, end.Run)
+			c.holdStray(now, w, end.Run, false)
 		}
 	}
 }
@@ -69,13 +72,13 @@
 
 // clearStrays ends what holdStray keeps from starting because of a worker, but for tasks of which it still lists a run in its answer to a
 // poll that was sent at the given time.
-func (c *Controller) clearStrays(w *worker, sent time.Duration, listed map[pj.RunID]struct{}) {
+func (c *Controller) clearStrays(w *worker, sent time.Duration, response *pj.PollResponse) {
 	if w.strays == 0 {
 		return
 	}
 	for task, strays := range c.strays {
 		remaining := slices.DeleteFunc(strays, func(s *stray) bool {
-			gone := s.worker == w && sent >= s.listedAt && !listsTask(listed, task)
+			gone := s.worker == w && sent >= s.listedAt && !listsStray(response, task)
 			if gone {
 				w.strays--
 				c.ledger.Refund(s.workspace, s.amount)
@@ -90,13 +93,10 @@
 	}
 }
 
-func listsTask(listed map[pj.RunID]struct{}, task pj.TaskID) bool {
-	for id := range listed {
-		if id.Task == task {
-			return true
-		}
-	}
-	return false
+// listsStray reports whether an answer lists a run of a task that goes on or has ended as done.
+func listsStray(response *pj.PollResponse, task pj.TaskID) bool {
+	return slices.ContainsFunc(response.Running, func(r pj.RunStatus) bool { return r.Run.Task == task }) ||
+		slices.ContainsFunc(response.Finished, func(e pj.EndedRun) bool { return e.Run.Task == task && e.Outcome == pj.EndDone })
 }
 
 // holdStrays takes the tasks with stray runs out of the pending ones, and returns the function that puts them back.
--- a/internal/control/runs/stray_test.go
+++ b/internal/control/runs/stray_test.go
@@ -153,6 +153,48 @@
 	x.is.True(len(x.orders.take("start")) > 0)
 }
 
+// TestStartBehindLateDone guards against a task that runs again after it was done: the end as done was read while a start of the task was being committed, and the
+// start was sent before the end was committed.
+func TestStartBehindLateDone(t *testing.T) {
+	x := newCell(t, 2)
+	x.submit("a", wholeWorker())
+	first := x.orders.take("start")[0]
+	first.answer(nil)
+	x.hear(map[string]pj.PollResponse{first.worker: {Running: []pj.RunStatus{{Run: first.run}}}})
+	for len(x.group.queued) == 0 && x.clock.now < 30*time.Second { // until the run is lost and the next start is being committed
+		x.clock.now += 50 * time.Millisecond
+		x.c.Tick()
+		x.answerPollsOf(otherThan(first.worker))
+		x.group.paused = true
+		x.c.Flush()
+		x.group.paused = len(x.group.queued) > 0
+	}
+	if len(x.group.queued) > 0 && len(x.group.state.Record("a").Occurrences[0][0].Tasks[0].Worker) > 0 { // that was the end of the run
+		x.group.resume()
+		x.group.paused = true
+		x.c.Flush()
+	}
+	x.is.Equal(len(x.group.queued), 1)
+	done := pj.EndedRun{Number: 1, Run: first.run, Outcome: pj.EndDone}
+	answered := false
+	for range 60 {
+		for _, o := range x.orders.take("poll") {
+			if o.worker == first.worker && !answered {
+				answered = true
+				o.answerPoll(x.listed(testIncarnation, 0, nil, done), nil)
+			}
+		}
+		x.clock.now += 50 * time.Millisecond
+		x.c.Tick()
+	}
+	x.is.True(answered)
+	x.group.resume()
+	x.is.Equal(len(x.orders.take("start")), 0)
+	x.flush()
+	x.is.Equal(len(x.orders.take("start")), 0)
+	x.is.Equal(x.state("a"), pj.WorkflowComplete)
+}
+
 // TestStrayRunOfSilentWorker: work isn't kept waiting for a stray run that its worker no longer reports, once the worker's lease is over.
 func TestStrayRunOfSilentWorker(t *testing.T) {
 	x := newCell(t, 2)
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -432,11 +432,11 @@
 		listed[status.Run] = struct{}{}
 		c.reconcileRunning(now, w, status)
 	}
-	c.clearStrays(w, sent, listed)
 	for i := range response.Finished {
 		listed[response.Finished[i].Run] = struct{}{}
 	}
-	c.reconcileFinished(w, response.Finished)
+	c.clearStrays(w, sent, &response)
+	c.reconcileFinished(now, w, response.Finished)
 	if response.Partial {
 		return
 	}
@@ -449,7 +449,7 @@
 
 // reconcileFinished adds the listed ends to the batch. They are acknowledged once committed. Ends that an earlier command
 // is still committing are acknowledged with that command.
-func (c *Controller) reconcileFinished(w *worker, ended []pj.EndedRun) {
+func (c *Controller) reconcileFinished(now time.Duration, w *worker, ended []pj.EndedRun) {
 	for i := range ended {
 		end := &ended[i]
 		v := w.runs[end.Run]
@@ -461,6 +461,7 @@
 			c.end(v, end.Outcome, end.Checkpoint)
 		case c.lateDone(end):
 			c.batch.lateDone = append(c.batch.lateDone, end.Run)
+			c.holdStray(now, w, end.Run, false) // a start of the task may be in an earlier command
 		}
 		if end.Number > w.acked {
 			if c.batch.acks == nil {
@@ -536,7 +537,7 @@
 			c.end(v, pj.EndWorkerLost, v.checkpoint)
 		}
 	}
-	c.clearStrays(w, now, nil)
+	c.clearStrays(w, now, &pj.PollResponse{})
 	if len(w.runs) == 0 && (w.leftAt != 0 || now > max(w.polledAt, w.knownSince)+removeAfter) {
 		if w.leftAt == 0 {
 			c.removeWorker(w, "silent", func(error) {})
