Runs: one name for a worker whose lease isn't settled, one flag for a listed run

Read-through; no change of behaviour. The worker's strayLease is the state's Unsettled; a run's unconfirmed was what confirmed says.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -57,8 +57,8 @@
 
 // Durations and limits of worker leases and of workflow retention.
 const (
-	DefaultLease      = 6 * time.Second // a new leader is elected and has polled every worker well within it
-	DefaultMaxLease   = 12 * time.Second
+	DefaultLease      = 6 * time.Second        // a new leader is elected and has polled every worker well within it
+	DefaultMaxLease   = 12 * time.Second       // on the worker's own clock
 	minClockRate      = 0.97                   // minimum rate of a worker's clock relative to this VM's
 	leaseMargin       = 100 * time.Millisecond // after the end of a lease, before its tasks count as ended
 	DefaultRetention  = 20 * time.Minute
@@ -200,7 +200,7 @@
 	}
 	v := &run{
 		id:      pj.RunID{Task: pj.TaskID{StepID: ts.id, Index: index}, Run: t.LastRun},
-		taskSet: ts, worker: w, phase: phaseCommitted, resolvedAt: c.electedAt, startedAt: c.electedAt, unconfirmed: true,
+		taskSet: ts, worker: w, phase: phaseCommitted, resolvedAt: c.electedAt, startedAt: c.electedAt,
 	}
 	c.occupy(v)
 }
--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -89,19 +89,19 @@
 	w.acked, w.noted, w.leaseEndMS, w.clockMS = 0, 0, 0, 0
 	w.polled, w.partial, w.strayAt, w.withheldAt, w.knownSince = false, false, 0, 0, now
 	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
-	w.strayLease, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
+	w.unsettled, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
 	for _, v := range w.runs {
 		v.confirmed = false
 	}
 	c.raiseFence(w)
 }
 
-// settle commits that a worker's lease is known again.
+// settle commits that a worker's lease is known again, see workflow.State.Unsettled.
 func (c *Controller) settle(now time.Duration, w *worker) {
-	if !w.strayLease || !w.polled || now < w.unknownLeaseUntil {
+	if !w.unsettled || !w.polled || now < w.unknownLeaseUntil {
 		return
 	}
-	w.strayLease = false
+	w.unsettled = false
 	if !c.options.State.Unsettled(w.ID) {
 		return
 	}
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -33,9 +33,8 @@
 	phase        runPhase
 	startedAt    time.Duration
 	resolvedAt   time.Duration // since when the outcome of the start order is known; 0 while it is unknown
-	unconfirmed  bool          // adopted from an earlier leader, and not yet listed by the worker in a poll of this one
 	fence        uint64        // fencing token of the start order; 0 for adopted runs and before it is sent
-	confirmed    bool          // the current incarnation of the worker has listed it
+	confirmed    bool          // the current incarnation of the worker has listed it to this leader
 	unansweredAt time.Duration // since when it is known that the start order got no answer; 0 if it got one or may still get it
 	ending       bool          // its end is being committed
 	stopReason   string        // why the run is to be stopped; empty if it isn't
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -44,8 +44,8 @@
 	withheldAt time.Duration // since when an acknowledgement is withheld; 0 if none is
 	partial    bool          // its last answer listed only a part of its ends
 
-	strayAt        time.Duration // when it last listed a stray run; 0 if it doesn't
-	strays         int           // in Controller.strays
+	strayAt        time.Duration // when it last listed a run that isn't live; 0 if its last answer lists none
+	strays         int           // number of its entries in Controller.strays
 	unansweredAt   time.Duration // when a poll or an order there last got no answer; 0 if none did
 	nextPollAtOnce time.Duration
 
@@ -58,7 +58,7 @@
 	clockReadAt       time.Duration
 	grantedAt         time.Duration // when this leader last sent a lease end
 	leaseEndMS        int64         // latest lease end that this leader has sent, on the worker's clock
-	strayLease        bool          // a call that was meant for an earlier incarnation may have set its lease
+	unsettled         bool          // a call that was meant for an earlier incarnation may have set its lease
 	unknownLeaseUntil time.Duration // until then, a lease that ends after leaseEndMS may be in force
 	nextPollAt        time.Duration
 	unhealthyUntil    time.Duration // until then, the worker receives no new task
@@ -73,7 +73,7 @@
 func (c *Controller) addWorker(info pj.PolledWorker) *worker {
 	w := &worker{PolledWorker: info, described: info.Incarnation, free: info.Capacity, runs: make(map[pj.RunID]*run), polledAt: c.electedAt, knownSince: c.options.Clock.Now(), fence: c.fence}
 	if c.options.State.Unsettled(w.ID) {
-		w.strayLease, w.unknownLeaseUntil = true, w.knownSince+c.maxLeaseSpan()
+		w.unsettled, w.unknownLeaseUntil = true, w.knownSince+c.maxLeaseSpan()
 	}
 	c.workers[info.ID] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, info.ID, compareID)
@@ -154,7 +154,7 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info)
-		if w.strayLease {
+		if w.unsettled {
 			c.raiseFence(w) // it was known before
 		}
 	} else if info.Incarnation >= w.Incarnation {
@@ -165,7 +165,7 @@
 		w.PolledWorker, w.described = info, info.Incarnation
 		w.free = info.Capacity.Sub(used)
 		w.leftAt = 0
-		w.strayLease = w.strayLease || c.options.State.Unsettled(info.ID)
+		w.unsettled = w.unsettled || c.options.State.Unsettled(info.ID)
 		c.refreshCapacity()
 	}
 	c.options.Events.Record("worker_changed", "worker", info.ID, "born", info.Incarnation, "address", info.Address,
@@ -354,7 +354,7 @@
 	if w.leftAt != 0 && sent > w.leftAt {
 		w.leftAt = now // it hasn't exited
 	}
-	if w.strayLease && !w.polled {
+	if w.unsettled && !w.polled {
 		w.unknownLeaseUntil = now + c.maxLeaseSpan()
 	}
 	w.polled = true
@@ -478,8 +478,8 @@
 		c.stopStray(now, w, status.Run)
 		return
 	}
-	if v.resolvedAt == 0 || v.unconfirmed || !v.confirmed {
-		v.unconfirmed, v.confirmed = false, true
+	if !v.confirmed {
+		v.confirmed = true
 		c.resolveStart(v, true)
 	}
 	c.quarantine.RecordRunning(now, v.startedAt, w.ID)
@@ -502,7 +502,7 @@
 func (c *Controller) reconcileMissing(now time.Duration, v *run, sent time.Duration, fence uint64) {
 	switch {
 	case v.phase != phaseCommitted || v.ending:
-	case (v.resolvedAt != 0 && v.resolvedAt <= sent) || (v.fence != 0 && v.fence < fence): // in the second case the worker refuses the start from now on
+	case (v.resolvedAt != 0 && v.resolvedAt <= sent) || (v.fence != 0 && v.fence < fence): // in the second case the worker has a higher token and refuses the start
 		c.end(v, pj.EndWorkerLost, v.checkpoint)
 	case v.resolvedAt == 0 && v.unansweredAt != 0 && v.unansweredAt <= sent && now >= v.stopSentAt+stopRetryInterval:
 		c.stop(v, "the start order was not answered")
