review: show that a late start is carried out by the next life of its runner

Cause: the leader takes the answer to a stop, and a poll that doesn't list the run, as a proof that a start without an answer will never be carried out. Both hold for one life of the runner only; the next one under its id knows neither the stop nor the fencing token.

Nothing is fixed.

--- a/review/standin-2/calls.go
+++ b/review/standin-2/calls.go
@@ -81,9 +81,9 @@
 	})
 }
 
-// submit hands in a job of one step, whose tasks run on different runners, until it is accepted.
-func (c *cell) submit(ctx context.Context, id string, tasks int, spec string) error {
-	job := map[string]any{"spec": spec, "steps": []any{map[string]any{"count": tasks, "cpu": 1000, "mem_mb": 512, "estimate_ms": 10000, "anti_affinity": 1}}}
+// submit hands in a job of one step, with at most perRunner tasks on a runner unless that is 0, until it is accepted.
+func (c *cell) submit(ctx context.Context, id string, tasks, perRunner int, spec string) error {
+	job := map[string]any{"spec": spec, "steps": []any{map[string]any{"count": tasks, "cpu": 1000, "mem_mb": 512, "estimate_ms": 10000, "anti_affinity": perRunner}}}
 	return await(ctx, "job "+id+" is accepted", 10*time.Second, func() bool {
 		status, err := c.calls.call(ctx, http.MethodPost, c.front(0), routePrefix+id, job)
 		return err == nil && status == http.StatusOK
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]caseFunc{
 	"leave_answer_lost": leaveAnswerLost,
+	"late_start":        lateStart,
 }
 
 func main() {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -18,6 +18,7 @@
 	callTimeout       = time.Second // without a response for this long, a runner calls the next node
 	maxHold           = 10 * time.Second
 	maxListedEnds     = 500
+	failAfter         = 50 * time.Millisecond
 )
 
 // taskRun is a run of a task on a runner.
@@ -30,6 +31,7 @@
 
 // runner is a stand-in for one life of a runner.
 type runner struct {
+	ctx         context.Context //nolint:containedctx // ends the runner
 	id, address string
 	born        int64
 	record      *record
@@ -49,7 +51,10 @@
 	seq        int64
 	draining   bool
 	up         bool
-	next       int // control address for the next call
+	cut        bool                         // nothing gets to the runner or from it
+	fails      func(*taskRun) bool          // reports whether a run fails by the fault of its task
+	holdStart  func(*taskRun) time.Duration // how long a start is held up before it is carried out, without an answer; nil for not at all
+	next       int                          // control address for the next call
 	changed    chan struct{}
 }
 
@@ -59,19 +64,55 @@
 		return nil, fmt.Errorf("listen for runner: %w", err)
 	}
 	r := &runner{
-		id: fmt.Sprintf("i-%d", number), address: listener.Addr().String(), born: time.Now().UnixMilli(), record: c.record, controls: c.controls(),
+		ctx: ctx, id: fmt.Sprintf("i-%d", number), address: listener.Addr().String(), born: time.Now().UnixMilli(), record: c.record, controls: c.controls(),
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}, started: time.Now().Add(-time.Minute), onStart: onStart,
 		runs: make(map[string]*taskRun), lastEnded: make(map[string]int), up: true, changed: make(chan struct{}),
 	}
+	r.serve(listener)
+	go r.advance(ctx)
+	go r.beat(ctx)
+	return r, nil
+}
+
+// serve answers calls until the process of the runner ends.
+func (r *runner) serve(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", r.handle(r.runStart))
 	mux.HandleFunc("POST /run-stop", r.handle(r.runStop))
 	mux.HandleFunc("POST /hold", r.handle(r.hold))
-	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
-	go func() { _ = r.server.Serve(listener) }()
-	go r.advance(ctx)
-	go r.beat(ctx)
-	return r, nil
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	r.mu.Lock()
+	r.server = server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+}
+
+// setCut cuts the runner off, or ends that.
+func (r *runner) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	r.record.add("%s: cut off: %v", r.id, cut)
+}
+
+// restart ends the process of the runner and starts the next one under its id and at its address. It knows nothing of before.
+func (r *runner) restart() error {
+	r.mu.Lock()
+	server := r.server
+	r.mu.Unlock()
+	_ = server.Close()
+	listener, err := (&net.ListenConfig{}).Listen(r.ctx, "tcp", r.address)
+	if err != nil {
+		return fmt.Errorf("listen again: %w", err)
+	}
+	r.mu.Lock()
+	r.born, r.started = time.Now().UnixMilli(), time.Now()
+	r.fence, r.leaseUntil, r.lastEnd, r.seq = 0, 0, 0, 0
+	r.runs, r.lastEnded, r.ends = make(map[string]*taskRun), make(map[string]int), nil
+	r.record.add("%s has crashed and is back under its id, born %d", r.id, r.born)
+	r.mu.Unlock()
+	r.serve(listener)
+	return nil
 }
 
 // clock returns the runner's steady clock in milliseconds.
@@ -87,8 +128,9 @@
 		r.record.add("%s ends, and with it run %d of %s", r.id, t.run, task)
 	}
 	r.runs = make(map[string]*taskRun)
+	server := r.server
 	r.mu.Unlock()
-	_ = r.server.Close()
+	_ = server.Close()
 }
 
 // running reports whether a run of the task is at work here.
@@ -129,13 +171,13 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if q.Fence < r.fence {
-			r.answer(w, http.StatusConflict, "fence", false)
+		if r.cut || r.heldUp(h.URL.Path, &q) {
+			r.mu.Unlock()
+			<-h.Context().Done()
+			r.mu.Lock()
 			return
 		}
-		r.fence = q.Fence
-		r.expire()
-		reason, wait := execute(&q)
+		reason, wait := r.carryOut(&q, execute)
 		if reason != "" {
 			r.answer(w, http.StatusConflict, reason, false)
 			return
@@ -154,6 +196,35 @@
 	}
 }
 
+// carryOut carries out a call unless its fencing token is older than one seen before.
+func (r *runner) carryOut(q *request, execute func(q *request) (string, bool)) (reason string, wait bool) {
+	if q.Fence < r.fence {
+		return "fence", false
+	}
+	r.fence = q.Fence
+	r.expire()
+	return execute(q)
+}
+
+// heldUp reports whether a call is a start that gets no answer. It is carried out later, by the process that is there then.
+func (r *runner) heldUp(path string, q *request) bool {
+	if path != "/run-start" || r.holdStart == nil {
+		return false
+	}
+	late := r.holdStart(&taskRun{task: q.Task, run: q.Run})
+	if late == 0 {
+		return false
+	}
+	r.record.add("%s: the start of run %d of %s gets no answer", r.id, q.Run, q.Task)
+	time.AfterFunc(late, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		reason, _ := r.carryOut(q, r.runStart)
+		r.record.add("%s: the start of run %d of %s is carried out %v late: %q", r.id, q.Run, q.Task, late, reason)
+	})
+	return true
+}
+
 func (r *runner) answer(w http.ResponseWriter, status int, reason string, lists bool) {
 	body := map[string]any{"clock_ms": r.clock(), "born": r.born}
 	if reason != "" {
@@ -244,6 +315,8 @@
 		switch {
 		case r.clock() > r.leaseUntil:
 			r.endRun(t, "lapsed")
+		case r.fails != nil && r.fails(t) && time.Since(t.began) >= failAfter:
+			r.endRun(t, "failed")
 		case time.Since(t.began) >= t.lasts:
 			r.endRun(t, "done")
 		}
@@ -325,6 +398,13 @@
 		return false
 	}
 	q.Header.Set("Content-Type", "application/json")
+	r.mu.Lock()
+	cut := r.cut
+	r.mu.Unlock()
+	if cut {
+		_ = sleep(ctx, callTimeout)
+		return false
+	}
 	sent := time.Now()
 	response, err := client.Do(q)
 	if err != nil {
