--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-2 runs one case of the second review: it starts a small cell of papayacell processes on loopback addresses, plays
 // the operator, the clients and the runners of the users' platform against it, and checks one rule.
 package main
