Runs: a worker that leaves is waited for, not timed

Cause: Leave committed the worker's removal, and exitDelay (400 ms) later its runs counted as lost. A bound on another process's time was taken for the proof that it had ended. Two other hypotheses don't hold: that the leader lost the lead, or that a poll was in flight too long to defer the exit.

Change: a leave call stops the worker's runs, and nothing on it is renewed any more. A run ends by one of three proofs: the worker lists its end, the lease has expired on the worker's clock, or the worker doesn't list the run after it has acknowledged the stop. The worker is removed, and the call answered, once it has none left; until then the VM that took the call asks the leader again every 50 ms. No bound on the exit is left: not in the next leader, which sees the runs as recorded, nor in relays, through which the stops and polls go. A late or repeated call for a former incarnation, or after the worker has withdrawn its drain, ends with the next announcement or restart. A draining worker is given leases of 2.4 s in place of 6 s, so that the tasks of one that exits without waiting for an answer are free within 3 s of the call, if it has drained for 4 s.

An older leader answers without the new field, which means that nothing is pending; an older entry takes each answer for the last one. Both are safe with this leader, as the answer isn't a proof.

Tests: TestIncarnations has four mixes with workers that drain, wait or don't, lose calls or answers, send them late, withdraw their drain and come back under their ids. TestLeave, TestSystem "worker leaves", TestLeaveThroughRelays.

TestLeftWorkerThatStillRuns and TestReturnedWorkerIsFenced have the new signature; the former checks besides that the call isn't answered.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -196,7 +196,7 @@
 	if w == nil {
 		// The worker has left and its clock is unknown: its runs are lost only after a full lease.
 		w = c.addWorker(pj.PolledWorker{ID: t.Worker})
-		w.leftAt = c.electedAt
+		w.retiring = true
 	}
 	v := &run{
 		id:      pj.RunID{Task: pj.TaskID{StepID: ts.id, Index: index}, Run: t.LastRun},
--- a/internal/control/runs/incarnation.go
+++ b/internal/control/runs/incarnation.go
@@ -88,6 +88,7 @@
 func (c *Controller) restarted(now time.Duration, w *worker) {
 	w.acked, w.noted, w.leaseEndMS, w.clockMS = 0, 0, 0, 0
 	w.polled, w.partial, w.strayAt, w.withheldAt, w.knownSince = false, false, 0, 0, now
+	w.retiring = false                        // this incarnation hasn't asked to leave
 	w.polling, w.pollingAtOnce = false, false // polls of the earlier incarnation are not waited for
 	w.unsettled, w.unknownLeaseUntil = true, now+c.maxLeaseSpan()
 	for _, v := range w.runs {
--- a/internal/control/runs/late_calls_test.go
+++ b/internal/control/runs/late_calls_test.go
@@ -29,7 +29,7 @@
 	start.answer(errNoAnswer)
 	x.advance(100 * time.Millisecond)
 	x.is.NoErr(x.announce(announced("w0", func(w *pj.PolledWorker) { w.Draining = true })))
-	x.c.Leave("w0", func(err error) { x.is.NoErr(err) })
+	x.c.Leave("w0", func(_ bool, err error) { x.is.NoErr(err) })
 	x.advance(runs.DefaultMaxLease + time.Second) // the start may have reached the next incarnation already
 	x.is.Equal(x.c.WorkerCount(), 0)
 	x.orders.take("poll")
@@ -327,7 +327,7 @@
 	start.answer(nil)
 	x.advance(100 * time.Millisecond)
 	x.is.NoErr(x.announce(announced(start.worker, func(w *pj.PolledWorker) { w.Draining = true })))
-	x.c.Leave(start.worker, func(err error) { x.is.NoErr(err) })
+	x.c.Leave(start.worker, func(removed bool, err error) { x.is.NoErr(err); x.is.True(!removed) })
 	for range 10 {
 		x.advance(100 * time.Millisecond)
 		x.answerPolls(map[string]pj.PollResponse{start.worker: {Running: []pj.RunStatus{{Run: start.run}}}})
--- a/internal/control/runs/lives_test.go
+++ b/internal/control/runs/lives_test.go
@@ -26,6 +26,7 @@
 // faultMix says which faults a simulation has. Numbers are of the span of faults.
 type faultMix struct {
 	restarts, cuts int           // per worker
+	leaves         int           // per worker; some leave calls or their answers are lost or late
 	elections      int           // changes of leader
 	unanswered     float64       // fraction of the calls that get no answer
 	late           bool          // some of these are carried out 2 to 12 s after they were sent
@@ -301,6 +302,9 @@
 				s.planCut(w, at+down+time.Duration(random.Int64N(int64(3*time.Second))), random)
 			}
 		}
+		for range s.mix.leaves {
+			s.at(moment(), w.id, func() { s.drain(w) })
+		}
 		for range s.mix.cuts {
 			s.planCut(w, moment(), random)
 		}
@@ -398,7 +402,12 @@
 	} else {
 		info := testWorker(l.worker.id)
 		info.Incarnation, info.Sequence, info.Capacity = l.born, sequence, s.capacity
-		s.leader.c.Announce(info, func(error) {})
+		info.Draining = l.draining != nil && !l.draining.over
+		s.leader.c.Announce(info, func(err error) {
+			if err == nil && info.Draining {
+				l.draining.acknowledged()
+			}
+		})
 	}
 	s.after(next, l.worker.id, func() { s.announce(l, sequence+1) })
 }
@@ -539,7 +548,7 @@
 }
 
 // TestIncarnations guards against a task on two workers, and one that is done and starts again, because a worker took something that was
-// said to an earlier incarnation of it. Schedules are random and repeat with their seed; -lives.seeds and -lives.first choose others.
+// said to an earlier incarnation of it, or because one that leaves was taken for one that has exited. Schedules are random and repeat with their seed; -lives.seeds and -lives.first choose others.
 func TestIncarnations(t *testing.T) {
 	tests := map[string]struct {
 		mix   faultMix
@@ -555,6 +564,10 @@
 		"changes of leader, cuts, late calls": {mix: faultMix{cuts: 1, elections: 4, unanswered: 0.1, late: true}, seeds: 80},
 		"brief restarts, late calls":          {mix: faultMix{restarts: 4, unanswered: 0.3, late: true, keep: true, brief: true, clockSpread: 2 * time.Second}, seeds: 80},
 		"everything":                          {mix: faultMix{restarts: 2, cuts: 1, elections: 2, series: true, keep: true, unanswered: 0.1, late: true}, seeds: 100},
+		"leaves":                              {mix: faultMix{leaves: 2}, seeds: 100},
+		"leaves, cuts, changes of leader":     {mix: faultMix{leaves: 2, cuts: 1, elections: 2}, seeds: 100},
+		"leaves, late calls":                  {mix: faultMix{leaves: 2, unanswered: 0.1, late: true, keep: true}, seeds: 100},
+		"leaves beside everything":            {mix: faultMix{leaves: 2, restarts: 1, cuts: 1, elections: 2, series: true, keep: true, unanswered: 0.1, late: true}, seeds: 100},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/runs/simworker_test.go
+++ b/internal/control/runs/simworker_test.go
@@ -53,7 +53,8 @@
 	ends     []pj.EndedRun // not acknowledged
 	held     []*heldPoll
 
-	addressed bool // it has carried out a call that was meant for it
+	addressed bool      // it has carried out a call that was meant for it
+	draining  *simLeave // nil unless it drains or has withdrawn that
 }
 
 // simRun is one run on an incarnation.
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -20,7 +20,8 @@
 	pollRetryDelay     = 250 * time.Millisecond  // after a poll without an answer
 	unresponsiveAfter  = 1900 * time.Millisecond // without an answer for this long, a worker receives no new task
 	leaseRenewalWindow = 2200 * time.Millisecond // without an answer for this long, a worker's lease isn't renewed
-	exitDelay          = 400 * time.Millisecond  // upper bound of the time from a worker's leave call to the exit of its process
+	drainPollWait      = 500 * time.Millisecond  // of a draining worker, whose lease is shorter
+	drainLease         = 2400 * time.Millisecond // of a draining worker: bounds how long its tasks wait if it exits without listing their ends
 	stopRetryInterval  = 600 * time.Millisecond
 	maxClockSkew       = time.Minute // wall clocks of VMs and workers differ by less; a later start time is not a worker's
 )
@@ -31,8 +32,9 @@
 
 	free          pj.Resources
 	runs          map[pj.RunID]*run
-	acked         int64         // number of the last committed end, which polls acknowledge
-	leftAt        time.Duration // when its removal was proposed, because it left or was evicted; 0 before
+	acked         int64 // number of the last committed end, which polls acknowledge
+	retiring      bool  // it has sent a leave call, or is being evicted: once nothing can run there, it is removed
+	removing      bool  // its removal is being committed
 	usable        bool
 	removed       bool // no longer in Controller.workers
 	polling       bool
@@ -90,7 +92,7 @@
 func (c *Controller) refreshCapacity() {
 	var total pj.Resources
 	for _, w := range c.workers {
-		if w.leftAt == 0 {
+		if !w.retiring {
 			total = total.Add(w.Capacity)
 		}
 	}
@@ -110,7 +112,7 @@
 		done(err)
 		return
 	}
-	if w := c.workers[info.ID]; ok && w != nil && w.leftAt == 0 && recorded.Incarnation == info.Incarnation && recorded.SameAs(&info) {
+	if w := c.workers[info.ID]; ok && w != nil && !w.removing && recorded.Incarnation == info.Incarnation && recorded.SameAs(&info) {
 		w.RemainingMS = info.RemainingMS
 		done(nil)
 		return
@@ -161,10 +163,10 @@
 		if info.Incarnation > w.Incarnation {
 			c.restarted(c.options.Clock.Now(), w)
 		}
+		w.retiring = w.retiring && info.Draining
 		used := w.Capacity.Sub(w.free)
 		w.PolledWorker, w.described = info, info.Incarnation
 		w.free = info.Capacity.Sub(used)
-		w.leftAt = 0
 		w.unsettled = w.unsettled || c.options.State.Unsettled(info.ID)
 		c.refreshCapacity()
 	}
@@ -175,32 +177,70 @@
 	c.poll(w)
 }
 
-// Leave removes a draining worker that exits, and calls done once that is committed.
-func (c *Controller) Leave(id string, done func(error)) {
+// Leave stops the runs of a draining worker and then removes it. done is called with true once that is committed. With false, the worker
+// should not exit yet, and the call must be repeated: the runs can't start elsewhere before the worker has listed their ends or its lease
+// has expired.
+func (c *Controller) Leave(id string, done func(removed bool, err error)) {
 	w := c.workers[id]
 	if w == nil || !w.Draining {
-		done(nil)
+		done(true, nil)
+		return
+	}
+	c.retire(w, "left")
+	if !w.idle() || w.removing {
+		done(false, nil)
 		return
 	}
-	c.removeWorker(w, "left", done)
+	c.remove(w, func(err error) { done(err == nil, err) })
 }
 
-func (c *Controller) removeWorker(w *worker, why string, done func(error)) {
-	if w.leftAt != 0 {
-		done(nil)
+// retire stops the runs of a worker that is to be removed.
+func (c *Controller) retire(w *worker, why string) {
+	if w.retiring {
 		return
 	}
-	w.leftAt = max(c.options.Clock.Now(), 1)
+	w.retiring = true
 	c.refreshCapacity()
-	c.options.Events.Record("worker_gone", "worker", w.ID, "born", w.Incarnation, "why", why, "runs", len(w.runs))
+	c.options.Events.Record("worker_retiring", "worker", w.ID, "born", w.Incarnation, "why", why, "runs", len(w.runs), "strays", w.strays)
+	for _, v := range w.runs {
+		c.stop(v, "the worker leaves")
+	}
+	w.nextPollAt = 0
+	c.poll(w)
+}
+
+// idle reports whether no run can be on the worker.
+func (w *worker) idle() bool {
+	return len(w.runs) == 0 && w.strays == 0
+}
+
+// remove commits the removal of an idle worker.
+func (c *Controller) remove(w *worker, done func(error)) {
+	w.removing = true
+	c.options.Events.Record("worker_gone", "worker", w.ID, "born", w.Incarnation)
 	removal := workflow.Command{RemoveWorkers: []workflow.WorkerIncarnation{{ID: w.ID, Incarnation: w.Incarnation}}}
-	c.commit(removal, func(_ workflow.Result, err error) { done(err) })
+	c.commit(removal, func(_ workflow.Result, err error) {
+		w.removing = false
+		if _, recorded := c.options.State.Worker(w.ID); err == nil && !recorded && w.idle() && c.workers[w.ID] == w {
+			c.drop(w)
+		}
+		done(err)
+	})
+}
+
+// drop forgets a worker that is no longer recorded.
+func (c *Controller) drop(w *worker) {
+	delete(c.workers, w.ID)
+	w.removed = true
+	if at, ok := slices.BinarySearchFunc(c.sortedWorkers, w.ID, compareID); ok {
+		c.sortedWorkers = slices.Delete(c.sortedWorkers, at, at+1)
+	}
 }
 
 // schedulable reports whether new tasks may start on the worker. The runs of a draining worker stay there until it leaves.
 // A new incarnation may have other labels and another capacity, so it must have announced them.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.usable && w.described == w.Incarnation && w.strayAt == 0 && !w.Draining && w.leftAt == 0 && now >= w.unhealthyUntil &&
+	return w.usable && w.described == w.Incarnation && w.strayAt == 0 && !w.Draining && !w.retiring && now >= w.unhealthyUntil &&
 		(w.withheldAt == 0 || now < w.withheldAt+maxAckDelay)
 }
 
@@ -251,7 +291,11 @@
 	if w.clockMS == 0 {
 		return 0
 	}
-	end := w.minClockMS(now) + c.options.Lease.Milliseconds()
+	lease := c.options.Lease
+	if w.Draining {
+		lease = min(lease, drainLease)
+	}
+	end := w.minClockMS(now) + lease.Milliseconds()
 	w.leaseEndMS, w.grantedAt = max(w.leaseEndMS, end), now
 	return end
 }
@@ -277,12 +321,15 @@
 	if w.unansweredAt != 0 && now < w.unansweredAt+lossMemory {
 		return lossyPollWait
 	}
+	if w.Draining {
+		return drainPollWait
+	}
 	return pollWait
 }
 
 // renewedLease returns the end of the lease that a poll renews, or 0 if it must not be renewed.
 func (c *Controller) renewedLease(now time.Duration, w *worker) int64 {
-	if now > w.polledAt+leaseRenewalWindow {
+	if now > w.polledAt+leaseRenewalWindow || w.retiring {
 		return 0
 	}
 	return c.grantLease(now, w)
@@ -351,9 +398,6 @@
 		c.options.Events.Record("worker_heard", "worker", w.ID, "running", len(response.Running), "finished", len(response.Finished), "recorded", len(w.runs),
 			"clock_ms", response.ClockMS)
 	}
-	if w.leftAt != 0 && sent > w.leftAt {
-		w.leftAt = now // it hasn't exited
-	}
 	if w.unsettled && !w.polled {
 		w.unknownLeaseUntil = now + c.maxLeaseSpan()
 	}
@@ -403,14 +447,14 @@
 // replacedAtAddress handles the answer of another worker at a worker's address. If this leader has reached the worker there,
 // its process has ended, and so have its runs. Else the address may be wrong, and the runs go on until their leases expire.
 func (c *Controller) replacedAtAddress(now time.Duration, w *worker) {
+	w.unhealthyUntil = now + unhealthyBackoff
 	if w.confirmedAddress != w.Address && len(w.runs) > 0 {
-		w.unhealthyUntil = now + unhealthyBackoff
 		return
 	}
 	for _, v := range w.runs {
 		c.end(v, pj.EndWorkerLost, v.checkpoint)
 	}
-	c.removeWorker(w, "another worker answers at its address", func(error) {})
+	c.retire(w, "another worker answers at its address")
 }
 
 // depose stops all orders after a worker has refused one because of a newer term.
@@ -512,7 +556,7 @@
 	}
 }
 
-// tickWorkers polls workers that are due, and evicts those that have exited or whose lease has expired.
+// tickWorkers polls workers that are due, ends the runs of those whose lease has expired, and removes those that are to be removed.
 func (c *Controller) tickWorkers(now time.Duration) {
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		c.updateUsable(now, w)
@@ -521,14 +565,16 @@
 		if w.hasOpenStart() {
 			c.pollAtOnce(w)
 		}
-		exited := w.leftAt != 0 && now >= w.leftAt+exitDelay && w.leftAt > c.electedAt
-		if exited || (now > w.polledAt+unresponsiveAfter && c.leaseExpired(now, w)) {
+		if now > w.polledAt+unresponsiveAfter && c.leaseExpired(now, w) {
 			c.evict(now, w)
 		}
+		if w.retiring && !w.removing && w.idle() {
+			c.remove(w, func(error) {})
+		}
 	}
 }
 
-// evict commits the runs of a worker as lost, and removes the worker once it has none.
+// evict commits the runs of a worker whose lease has expired as lost, and removes the worker once it has none.
 func (c *Controller) evict(now time.Duration, w *worker) {
 	for _, v := range w.runs {
 		if v.phase == phaseCommitted && !v.ending && !c.mayRunElsewhere(now, v) {
@@ -538,16 +584,8 @@
 		}
 	}
 	c.clearStrays(w, now, &pj.PollResponse{})
-	if len(w.runs) == 0 && (w.leftAt != 0 || now > max(w.polledAt, w.knownSince)+removeAfter) {
-		if w.leftAt == 0 {
-			c.removeWorker(w, "silent", func(error) {})
-			return
-		}
-		delete(c.workers, w.ID)
-		w.removed = true
-		if at, ok := slices.BinarySearchFunc(c.sortedWorkers, w.ID, compareID); ok {
-			c.sortedWorkers = slices.Delete(c.sortedWorkers, at, at+1)
-		}
+	if w.idle() && now > max(w.polledAt, w.knownSince)+removeAfter {
+		c.retire(w, "silent")
 	}
 }
 
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -257,6 +257,8 @@
 			s.awaitComplete("a")
 			s.fleet.SetUnresponsive("w0", false)
 		},
+		"worker leaves while it runs tasks":                                   func(s *system) { s.leaveWithRuns() },
+		"worker leaves while it runs tasks, and the leader is lost meanwhile": func(s *system) { s.leaveWithRuns(func() { s.stop(s.leader()) }) },
 		"workflow is cancelled": func(s *system) {
 			s.submit("a", pj.Step{Tasks: 500, Task: pj.NewResources(4, 1, 0, 0)})
 			s.eventually("it is cancelled", func(ctx context.Context) bool { return s.entry().Cancel(ctx, team(), "a") == nil })
@@ -295,6 +297,38 @@
 	}
 }
 
+// leaveWithRuns checks that a worker which drains, and whose leave call is answered, has no runs any more, and that its tasks complete elsewhere.
+func (s *system) leaveWithRuns(faults ...func()) {
+	s.fleet.VaryRunTimes(func(pj.TaskID) time.Duration { return time.Hour })
+	s.submit("long", pj.Step{Tasks: 4, Task: pj.NewResources(8, 1, 0, 0)})
+	var leaver pj.PolledWorker
+	s.eventually("a worker runs a task", func(context.Context) bool {
+		i := slices.IndexFunc(s.workers, func(w pj.PolledWorker) bool { return s.fleet.Runs(w.ID) > 0 })
+		leaver = s.workers[max(i, 0)]
+		return i >= 0
+	})
+	leaver.Draining = true
+	s.eventually("it drains", func(ctx context.Context) bool {
+		leaver.Sequence++
+		_, err := s.entry().Announce(ctx, leaver)
+		return err == nil
+	})
+	for _, fault := range faults {
+		fault()
+	}
+	s.eventually("its leave call is answered", func(ctx context.Context) bool { return s.entry().Leave(ctx, leaver.ID) == nil })
+	s.is.Equal(s.fleet.Runs(leaver.ID), 0)
+	s.fleet.VaryRunTimes(func(pj.TaskID) time.Duration { return 200 * time.Millisecond })
+	s.awaitComplete("long")
+}
+
+// TestLeaveThroughRelays covers a worker that leaves a large fleet, whose runs are stopped by a relay.
+func TestLeaveThroughRelays(t *testing.T) {
+	s := newSystem(t, 120)
+	s.leaveWithRuns()
+	s.is.Equal(s.fleet.Violations(), nil)
+}
+
 // relayedStarts returns how many start requests were sent by VMs other than the leader.
 func (s *system) relayedStarts() int64 {
 	relayed := int64(0)
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/server/leaderclient"
 )
 
 // finalStateCache caches the final states of the workflows that were added last. Final states never change.
@@ -249,9 +250,29 @@
 	return withPort(next, v.options.ControlPort), nil
 }
 
-// Leave removes a worker that is shutting down.
+// Parameters of the calls for a worker that leaves.
+const (
+	leaveCheckInterval = 50 * time.Millisecond
+	maxLeaveWait       = 5 * time.Second // the worker repeats its call after a second without a response
+)
+
+// Leave removes a worker that is shutting down. It returns nil once all runs of the worker have ended, so that a worker that waits for it
+// doesn't end them by its exit.
 func (v *VM) Leave(ctx context.Context, id string) error {
-	return v.callLeader(ctx, opLeave, id, nil)
+	ctx, cancel := context.WithTimeout(ctx, maxLeaveWait)
+	defer cancel()
+	for {
+		var reply leaveReply
+		if err := v.callLeader(ctx, opLeave, id, &reply); err != nil {
+			return fmt.Errorf("leave call of worker %s: %w", id, err)
+		}
+		if !reply.Pending {
+			return nil
+		}
+		if !leaderclient.Sleep(ctx, leaveCheckInterval) {
+			return pj.Fail(pj.CodeOutcomeUnknown, "runs of worker %s are still being stopped", id)
+		}
+	}
 }
 
 // runAdvise queries the queue's policy on behalf of the leader.
--- a/internal/server/cluster/messages.go
+++ b/internal/server/cluster/messages.go
@@ -83,3 +83,8 @@
 type publishReply struct {
 	Version int64 `json:"version"`
 }
+
+// leaveReply tells whether runs of a worker that leaves may still go on. The call is then to be repeated.
+type leaveReply struct {
+	Pending bool `json:"pending,omitempty"`
+}
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -133,8 +133,8 @@
 	})
 }
 
-func (r *replica) runLeave(ctx context.Context, id string) (struct{}, error) {
-	return runIfLeader(ctx, r, func(reply func(struct{}, error)) {
-		r.controller.Leave(id, func(err error) { reply(struct{}{}, err) })
+func (r *replica) runLeave(ctx context.Context, id string) (leaveReply, error) {
+	return runIfLeader(ctx, r, func(reply func(leaveReply, error)) {
+		r.controller.Leave(id, func(removed bool, err error) { reply(leaveReply{Pending: !removed}, err) })
 	})
 }
--- a/internal/standin/polledworker/polledworker.go
+++ b/internal/standin/polledworker/polledworker.go
@@ -110,6 +110,14 @@
 	return f.workers[id].info.Incarnation
 }
 
+// Runs returns the number of runs on a worker.
+func (f *Fleet) Runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance(f.workers[id])
+	return len(f.workers[id].runs)
+}
+
 // LimitLeases makes each lease that would last longer a violation.
 func (f *Fleet) LimitLeases(longest time.Duration) {
 	f.mu.Lock()
