Runs: another worker at a worker's address doesn't end its runs

When a call to a worker at an address that it had answered at was refused by another worker there (421), its runs counted as lost at once. That is none of the three proofs: a machine's address may be given to a new one while the old one is cut off and runs on. Now its runs end with its lease, as those of any silent worker; without runs it is removed as before.

The test "another incarnation at the address has ended the run" asked for the early start. It is replaced by one that is as strict the other way: no start before the lease is over, and one within two leases. It fails before the change.

--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -155,16 +155,28 @@
 			x.submit("b", oneTask())
 			x.is.Equal(len(x.orders.sent), 0)
 		},
-		"another incarnation at the address has ended the run": func(x *cell, start *order) {
+		"another worker at the address is no proof that the run has ended": func(x *cell, start *order) {
+			// The address may have been given to another worker while this one is cut off and runs on.
 			start.answer(nil)
 			x.advance(100 * time.Millisecond)
-			for _, o := range x.orders.take("poll") {
-				if o.worker == start.worker {
-					o.answerPoll(pj.PollResponse{}, &pj.RefusedError{Reason: pj.RefusedIncarnation})
+			x.answerPollsRunning([]*order{start})
+			sent := x.clock.now // the next poll, which renews the lease
+			var again []*order
+			for len(again) == 0 && x.clock.now < sent+2*runs.DefaultLease {
+				x.advance(100 * time.Millisecond)
+				for _, o := range x.orders.take("poll") {
+					if o.worker == start.worker {
+						o.answerPoll(pj.PollResponse{}, &pj.RefusedError{Reason: pj.RefusedIncarnation})
+						continue
+					}
+					o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
 				}
+				x.flush()
+				again = x.orders.take("start")
 			}
-			x.flush()
-			x.is.Equal(len(x.orders.take("start")), 1)
+			x.is.Equal(len(again), 1)
+			x.is.True(x.clock.now >= sent+runs.DefaultLease)
+			x.is.True(again[0].worker != start.worker)
 		},
 		"a new leader adopts live runs and restarts missing ones": func(x *cell, start *order) {
 			x.submit("b", oneTask())
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -444,17 +444,13 @@
 	}
 }
 
-// replacedAtAddress handles the answer of another worker at a worker's address. If this leader has reached the worker there,
-// its process has ended, and so have its runs. Else the address may be wrong, and the runs go on until their leases expire.
+// replacedAtAddress handles the answer of another worker at a worker's address. The address may be wrong, or have been reassigned while the
+// worker runs on out of reach: runs go on until their leases expire.
 func (c *Controller) replacedAtAddress(now time.Duration, w *worker) {
 	w.unhealthyUntil = now + unhealthyBackoff
-	if w.confirmedAddress != w.Address && len(w.runs) > 0 {
-		return
-	}
-	for _, v := range w.runs {
-		c.end(v, pj.EndWorkerLost, v.checkpoint)
+	if w.idle() {
+		c.retire(w, "another worker answers at its address")
 	}
-	c.retire(w, "another worker answers at its address")
 }
 
 // depose stops all orders after a worker has refused one because of a newer term.
