App: a stopping process answers the requests that it holds

An entry takes requests until 4.5 s after the signal and holds each for up to 2.5 s, so while no leader is reached some last beyond the kill at 6 s.

Change: at the end of drain the contexts of the open requests end, and of those that arrive after that. The rest of the grace period is left for that and for closing the servers.

Test: TestStopAnswersOpenRequests, which waits for ever before the change (10 s timeout).

--- a/internal/server/app/app.go
+++ b/internal/server/app/app.go
@@ -23,7 +23,7 @@
 	idleTimeout        = 15 * time.Second
 	maxHeaderBytes     = 16 << 10
 	activePollInterval = 20 * time.Millisecond
-	closeReserve       = 500 * time.Millisecond // the part of the grace period that is reserved for closing the servers
+	closeReserve       = 500 * time.Millisecond // the part of the grace period that is reserved for closing the servers; requests that are open then are aborted
 )
 
 // Server configures one HTTP server of the process.
@@ -51,11 +51,14 @@
 	kratos   *kratos.App
 	stopping atomic.Bool
 	active   atomic.Int64
+	aborted  context.Context //nolint:containedctx // ends the requests that are open, or arrive, at the end of the grace period
+	abort    context.CancelFunc
 }
 
 // New opens the listeners of all servers and returns an App that is ready to run. After an error, none is left open.
 func New(options Options) (*App, error) {
 	a := &App{options: options}
+	a.aborted, a.abort = context.WithCancel(context.Background())
 	kratoslog.SetLogger(options.Logger)
 	kratosOptions := []kratos.Option{
 		kratos.Name(options.Name), kratos.ID(options.ID), kratos.BeforeStop(a.drain), kratos.StopTimeout(options.GracePeriod),
@@ -107,7 +110,7 @@
 }
 
 // countActive counts requests in flight. While the process is stopping, it makes clients close their connection, so that
-// they connect to another VM.
+// they connect to another VM. Before the process ends, it ends the contexts of the requests, whose handlers then answer.
 func (a *App) countActive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.active.Add(1)
@@ -115,7 +118,10 @@
 		if a.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(a.aborted, cancel)()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
@@ -133,7 +139,8 @@
 }
 
 // drain is called before the servers close. It calls the stop hook, then still serves new requests for the configured
-// time, then waits until no request is in flight. It returns at the latest shortly before the end of the grace period.
+// time, then waits until no request is in flight. Shortly before the end of the grace period it aborts those that are, as the process
+// would be killed while they wait.
 func (a *App) drain(context.Context) error {
 	a.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), a.options.GracePeriod-closeReserve)
@@ -148,5 +155,6 @@
 	for ctx.Err() == nil && a.active.Load() > 0 {
 		time.Sleep(activePollInterval)
 	}
+	a.abort()
 	return nil
 }
--- a/internal/server/app/app_test.go
+++ b/internal/server/app/app_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/matryer/is"
@@ -35,6 +36,42 @@
 	}
 }
 
+// TestStopAnswersOpenRequests guards against requests that a stopping process has read and never answers: it waited for them until it was killed.
+func TestStopAnswersOpenRequests(t *testing.T) {
+	is := is.New(t)
+	open := make(chan struct{}, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		open <- struct{}{}
+		<-r.Context().Done() // as while no leader is reached
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	a, err := New(Options{Logger: kratoslog.DefaultLogger, GracePeriod: closeReserve + 100*time.Millisecond, Servers: []Server{{Address: address, Handler: handler, ServesCallers: true}}})
+	is.NoErr(err)
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Run() }()
+	status := make(chan int, 1)
+	go func() {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address, nil)
+		is.NoErr(err)
+		response, err := http.DefaultClient.Do(r)
+		for err != nil && t.Context().Err() == nil { // it doesn't listen yet
+			response, err = http.DefaultClient.Do(r)
+		}
+		if err == nil {
+			_ = response.Body.Close()
+			status <- response.StatusCode
+		}
+	}()
+	<-open
+	is.NoErr(a.kratos.Stop())
+	is.Equal(<-status, http.StatusGatewayTimeout)
+	is.NoErr(<-stopped)
+}
+
 // TestFailedStart: if one of the addresses is in use, the listeners that were opened before it are closed again.
 func TestFailedStart(t *testing.T) {
 	is := is.New(t)
