Cell: a replica that is stopping ends, and doesn't get the lead back

Change: the streams end when the peer server begins to close. A VM that is stopping says so in its sync requests, and no leader transfers the lead to it, neither for its rank nor at a stop of its own.

--- a/cmd/papayacell/main.go
+++ b/cmd/papayacell/main.go
@@ -90,7 +90,7 @@
 	defer closeVM()
 	var a *app.App
 	options := app.Options{
-		Name: "papayacell", ID: s.VM, Logger: eventlog.NewFrameworkLogger(logger), GracePeriod: s.GracePeriod, OnStop: vm.TransferLeadership, ShutdownDelay: replicaShutdownDelay,
+		Name: "papayacell", ID: s.VM, Logger: eventlog.NewFrameworkLogger(logger), GracePeriod: s.GracePeriod, OnStop: vm.PrepareStop, ShutdownDelay: replicaShutdownDelay,
 		Servers: servers(s, vm, set, func() bool { return a.Stopping() }),
 	}
 	if s.Role == settings.RoleEntry {
@@ -106,8 +106,8 @@
 
 // servers returns the HTTP servers of the VM's role.
 func servers(s settings.Cluster, vm *cluster.VM, set *metrics.Set, stopping func() bool) []app.Server {
-	_, peerHandler, _ := peer.NewHandler(s.PeerAddress(), vm, false)
-	list := []app.Server{{Address: cmp.Or(s.ListenPeer, s.PeerAddress()), Handler: peerHandler, ServesPeers: true}}
+	_, peerHandler, closeStreams := peer.NewHandler(s.PeerAddress(), vm, false)
+	list := []app.Server{{Address: cmp.Or(s.ListenPeer, s.PeerAddress()), Handler: peerHandler, ServesPeers: true, OnShutdown: closeStreams}}
 	if s.MetricsPort > 0 {
 		list = append(list, app.Server{
 			Address: net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)),
--- a/internal/server/app/app.go
+++ b/internal/server/app/app.go
@@ -30,8 +30,9 @@
 type Server struct {
 	Address       string // IP and port
 	Handler       http.Handler
-	ServesPeers   bool // it serves the other VMs, over HTTP/2 without TLS and with no idle timeout
-	ServesCallers bool // shutdown waits for its requests and makes its clients close their connections, so that they connect elsewhere
+	ServesPeers   bool   // it serves the other VMs, over HTTP/2 without TLS and with no idle timeout
+	ServesCallers bool   // shutdown waits for its requests and makes its clients close their connections, so that they connect elsewhere
+	OnShutdown    func() // called when the server begins to close, to end requests that last; may be nil
 }
 
 // Options configure an App.
@@ -91,6 +92,9 @@
 	server.Protocols = new(http.Protocols)
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(s.ServesPeers)
+	if s.OnShutdown != nil {
+		server.RegisterOnShutdown(s.OnShutdown)
+	}
 	if !s.ServesPeers {
 		server.IdleTimeout = idleTimeout
 	}
@@ -138,6 +142,14 @@
 	return nil
 }
 
+// Stop makes Run return, as SIGTERM does.
+func (a *App) Stop() error {
+	if err := a.kratos.Stop(); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
 // drain is called before the servers close. It calls the stop hook, then still serves new requests for the configured
 // time, then waits until no request is in flight. Shortly before the end of the grace period it aborts those that are, as the process
 // would be killed while they wait.
--- a/internal/server/app/app_test.go
+++ b/internal/server/app/app_test.go
@@ -67,7 +67,7 @@
 		}
 	}()
 	<-open
-	is.NoErr(a.kratos.Stop())
+	is.NoErr(a.Stop())
 	is.Equal(<-status, http.StatusGatewayTimeout)
 	is.NoErr(<-stopped)
 }
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -78,7 +78,8 @@
 	syncing       chan struct{}      // holds an element while an exchange about rules is in progress
 	refusalSyncs  singleflight.Group // exchanges for requests that the held rules refuse
 	leaderChanged chan struct{}      // wakes the sync loop
-	receivedCalls atomic.Int64       // operations that other VMs have called here
+	stopping      atomic.Bool
+	receivedCalls atomic.Int64 // operations that other VMs have called here
 
 	mu            sync.Mutex
 	members       []string // VMs of the group, as of the leader's last sync reply
@@ -310,7 +311,7 @@
 	cached := v.ruleCache.Rules()
 	request := syncRequest{
 		VM: v.options.Address, Rank: v.options.Rank, Zone: v.options.Zone, Region: v.options.Region, Replica: v.options.Replica,
-		Version: cached.Version, HasRules: cached.Document != nil, MayOmitRules: mayOmitRules,
+		Stopping: v.stopping.Load(), Version: cached.Version, HasRules: cached.Document != nil, MayOmitRules: mayOmitRules,
 	}
 	if err = v.callLeader(ctx, opSync, request, &reply); err == nil {
 		v.updateGroupInfo(reply)
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -195,7 +195,7 @@
 	}
 	for _, id := range r.group.Membership().Voters {
 		peer, ok := r.peers[control.VMOf(id)]
-		if !ok || peer.rank >= r.vm.options.Rank || now < peer.syncingSince+minLeaderTenure || now > peer.lastSyncAt+maxPeerSyncAge {
+		if !ok || !peer.takesLead(now, r.vm.options.Rank) {
 			continue
 		}
 		if r.group.Core().CaughtUp(id) && r.group.Core().AckedWithin(now, id, maxMemberAckAge) {
@@ -213,7 +213,7 @@
 		return false
 	}
 	for _, id := range r.group.Membership().Voters {
-		if id != r.host.ID() && r.group.Core().CaughtUp(id) && r.group.Core().AckedWithin(now, id, maxMemberAckAge) {
+		if id != r.host.ID() && !r.peers[control.VMOf(id)].stopping && r.group.Core().CaughtUp(id) && r.group.Core().AckedWithin(now, id, maxMemberAckAge) {
 			_ = r.group.Core().Transfer(now, id) // fails if a transfer is already in progress
 			return true
 		}
@@ -221,9 +221,10 @@
 	return false
 }
 
-// TransferLeadership transfers the leadership to another voter, and waits until this VM no longer leads or ctx ends. It returns at
-// once if there is no voter to transfer to.
-func (v *VM) TransferLeadership(ctx context.Context) {
+// PrepareStop transfers the leadership to another voter, and waits until this VM no longer leads or ctx ends. It returns at once if there
+// is no voter to transfer to. From then on the leader knows that this VM is about to stop, and doesn't transfer the leadership to it.
+func (v *VM) PrepareStop(ctx context.Context) {
+	v.stopping.Store(true)
 	if v.replica == nil {
 		return
 	}
--- a/internal/server/cluster/messages.go
+++ b/internal/server/cluster/messages.go
@@ -47,7 +47,8 @@
 	Replica      bool   `json:"replica,omitempty"`
 	Version      int64  `json:"version"`
 	HasRules     bool   `json:"have"`
-	MayOmitRules bool   `json:"lean,omitempty"` // the leader omits newer rules if a replica can serve them
+	Stopping     bool   `json:"stopping,omitempty"` // the VM is shutting down
+	MayOmitRules bool   `json:"lean,omitempty"`     // the leader omits newer rules if a replica can serve them
 }
 
 // syncReply contains the version in force, the rules if the VM doesn't have them, and the group's VMs.
--- a/internal/server/cluster/peers.go
+++ b/internal/server/cluster/peers.go
@@ -19,17 +19,23 @@
 	zone         string
 	region       string
 	replica      bool
+	stopping     bool
 	syncingSince time.Duration // start of the current sequence of sync requests without a gap
 	lastSyncAt   time.Duration
 }
 
+// takesLead reports whether a leader of the given rank transfers the leadership to this VM, because it has a lower one.
+func (p peerInfo) takesLead(now time.Duration, rank int) bool {
+	return !p.stopping && p.rank < rank && now >= p.syncingSince+minLeaderTenure && now <= p.lastSyncAt+maxPeerSyncAge
+}
+
 // recordPeer updates the description of the VM that sent a sync request.
 func (r *replica) recordPeer(now time.Duration, s syncRequest) {
 	info, ok := r.peers[s.VM]
 	if !ok || now > info.lastSyncAt+maxPeerSyncAge {
 		info.syncingSince = now
 	}
-	info.rank, info.zone, info.region, info.replica, info.lastSyncAt = s.Rank, s.Zone, s.Region, s.Replica, now
+	info.rank, info.zone, info.region, info.replica, info.stopping, info.lastSyncAt = s.Rank, s.Zone, s.Region, s.Replica, s.Stopping, now
 	r.peers[s.VM] = info
 }
 
--- a/internal/server/cluster/peers_test.go
+++ b/internal/server/cluster/peers_test.go
@@ -112,3 +112,27 @@
 	is.NoErr(err)
 	return data
 }
+
+// TestTakesLead guards against the lead of a VM that is stopping: nobody can call it any more, and it is killed while it leads.
+func TestTakesLead(t *testing.T) {
+	const now = time.Minute
+	info := peerInfo{rank: 0, syncingSince: now - 2*minLeaderTenure, lastSyncAt: now}
+	tests := map[string]struct {
+		change func(p *peerInfo)
+		takes  bool
+	}{
+		"a VM of a lower rank":       {change: func(*peerInfo) {}, takes: true},
+		"a VM that is stopping":      {change: func(p *peerInfo) { p.stopping = true }},
+		"a VM of the same rank":      {change: func(p *peerInfo) { p.rank = 1 }},
+		"a VM that was away lately":  {change: func(p *peerInfo) { p.syncingSince = now - minLeaderTenure/2 }},
+		"a VM that isn't heard now":  {change: func(p *peerInfo) { p.lastSyncAt = now - 2*maxPeerSyncAge }},
+		"a VM that has just started": {change: func(p *peerInfo) { p.syncingSince = now }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := info
+			test.change(&p)
+			is.New(t).Equal(p.takesLead(now, 1), test.takes)
+		})
+	}
+}
