Soak: workers that leave, with lost, late and repeated leave calls

Cause: nothing of ours had a worker that sends its leave call and goes on.

Change: in the soak, workers drain, wait for the acknowledgement and some time more, and send leave calls: of six, one is lost, one is carried out 0.5 to 6 s later, the answer to one is lost. Most wait for an answer and exit up to 1.5 s after it, or after five calls without one; some exit right after their first call, some withdraw their drain. Most announce nothing more once they call. They come back under their ids.

--- a/cmd/papayasoak/main.go
+++ b/cmd/papayasoak/main.go
@@ -37,6 +37,7 @@
 	duration := flags.Duration("span", defaultDuration, "duration of the run")
 	sizeName := flags.String("size", "small", "size of the cell: small or large")
 	restarts := flags.Bool("restarts", true, "workers also restart under their ids, with other clocks")
+	leaves := flags.Bool("leaves", true, "workers also drain, leave and come back under their ids")
 	lateStarts := flags.Bool("late_starts", false, "starts that are carried out late may reach a later incarnation of a worker")
 	outlive := flags.Bool("outlive", true, "connections and calls to workers may outlive restarts of workers")
 	completionTimeout := flags.Duration("patience", 0, "maximum wait for accepted jobs to end after the run; 0 for no limit")
@@ -60,7 +61,7 @@
 	}
 	client, closeClient := platform.NewAPIClient(callTimeout)
 	defer closeClient()
-	options := soak.Options{Seed: *seed, Size: size, Duration: *duration, CompletionTimeout: *completionTimeout, Client: client, NewWorker: platform.NewWorkerHandler, WorkerRestarts: *restarts, OutlivingCalls: *outlive, LateStarts: *lateStarts}
+	options := soak.Options{Seed: *seed, Size: size, Duration: *duration, CompletionTimeout: *completionTimeout, Client: client, NewWorker: platform.NewWorkerHandler, WorkerRestarts: *restarts, WorkerLeaves: *leaves, OutlivingCalls: *outlive, LateStarts: *lateStarts}
 	violations, err := soak.Run(context.Background(), options, instructions, out)
 	for _, v := range violations {
 		_, _ = fmt.Fprintln(out, "BROKEN", v)
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -58,6 +58,7 @@
 	Publish(ctx context.Context, replica string, rules *pj.Ruleset) error
 	ReadVersion(ctx context.Context, replica string) (int64, error)
 	Announce(ctx context.Context, replica string, w *pj.PolledWorker) error
+	Leave(ctx context.Context, replica, worker string) error
 }
 
 // NewWorker returns the HTTP handler of a worker; it passes each request to client.
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -50,6 +50,10 @@
 	violations   []string
 	submitters   sync.WaitGroup // calls that submit jobs and have not returned
 
+	leaving        leaving
+	leaveCalls     [leaveFates]int // by what happened to them
+	leavesAnswered int
+
 	callerRand      *rand.Rand
 	repeated        int // jobs that were submitted again after their acceptance
 	repeatedRefused int // of these, refused by an entry that could not tell
@@ -69,6 +73,16 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
+// countLeave counts a leave call.
+func (l *load) countLeave(fate int, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaveCalls[fate]++
+	if answered {
+		l.leavesAnswered++
+	}
+}
+
 // checkingClient records started workflows and checks that no task starts before the step it depends on has finished, and none of another
 // job than the first one under its id.
 type checkingClient struct {
@@ -298,15 +312,25 @@
 // sendHeartbeats announces a worker at a fixed interval until ctx ends. A failed call isn't retried, because the next heartbeat
 // replaces it.
 func (l *load) sendHeartbeats(ctx context.Context, w pj.PolledWorker) {
-	for ctx.Err() == nil {
+	for ; ctx.Err() == nil; waitFor(ctx, heartbeatInterval) {
+		if !l.leaving.announces(w.ID) {
+			continue
+		}
 		if incarnation := l.fleet.Incarnation(w.ID); incarnation != w.Incarnation {
 			w.Incarnation, w.Sequence = incarnation, 0
 		}
 		w.Sequence++
-		_ = l.client.Announce(ctx, l.randomAddress(replicaRole, controlPort), &w)
-		select {
-		case <-ctx.Done():
-		case <-time.After(heartbeatInterval):
+		w.Draining = l.leaving.drains(w.ID, w.Incarnation)
+		if err := l.client.Announce(ctx, l.randomAddress(replicaRole, controlPort), &w); err == nil {
+			l.leaving.acknowledged(&w)
 		}
 	}
 }
+
+// waitFor waits for the given time or until ctx ends.
+func waitFor(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,6 +25,7 @@
 	Reset              Kind = "reset"   // existing connections to the VM are closed once
 	WorkerUnresponsive Kind = "hush"    // a worker responds to no requests
 	WorkerRestart      Kind = "reborn"  // a worker responds to no requests, then restarts under its id, with another clock
+	WorkerLeave        Kind = "leave"   // a worker drains and leaves, then restarts under its id; some of its leave calls or their answers are lost or late
 	WorkerLate         Kind = "late"    // a share of the calls to a worker gets no answer and is carried out later, whatever happens to the worker meanwhile
 )
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,6 +23,7 @@
 	Client            Client
 	NewWorker         NewWorker
 	WorkerRestarts    bool // workers also restart under their ids
+	WorkerLeaves      bool // workers also drain and leave
 	OutlivingCalls    bool // connections and calls may outlive restarts of workers
 	LateStarts        bool // late starts may be carried out by a later incarnation than they were sent to
 }
@@ -36,11 +37,13 @@
 	fleet := polledworker.New(workers, taskRunTime)
 	l := newLoad(o.Seed, o.Size, o.Client, fleet)
 	fleet.LimitLeases(runs.DefaultLease)
+	if o.OutlivingCalls || o.WorkerLeaves {
+		fleet.VaryRunTimes(variedRunTime)
+	}
 	var late *lateCalls
 	if o.OutlivingCalls {
 		late = newLateCalls(o.Seed, o.LateStarts)
 		fleet.CountMisread()
-		fleet.VaryRunTimes(variedRunTime)
 		late.setClocks(fleet, workers)
 	}
 	servers := newWorkerServers(l, o.NewWorker, o.Seed, late)
@@ -101,6 +104,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if o.WorkerLeaves {
+		_, _ = fmt.Fprintf(out, "leave_calls lost=%d late=%d unanswered=%d answered=%d\n", l.leaveCalls[leaveLost], l.leaveCalls[leaveLate], l.leaveCalls[leaveUnanswered], l.leavesAnswered)
+	}
 	return slices.Concat(l.violations, fleet.Violations()), nil
 }
 
@@ -112,6 +118,9 @@
 	if o.WorkerRestarts {
 		plan = append(plan, PlanRestarts(o.Seed, o.Duration, workers)...)
 	}
+	if o.WorkerLeaves {
+		plan = append(plan, PlanLeaves(o.Seed, o.Duration, workers)...)
+	}
 	if o.OutlivingCalls {
 		plan = append(plan, PlanOutlive(o.Seed, o.Duration, replicaFaults, workers)...)
 	}
@@ -143,6 +152,10 @@
 			l.recordViolation("worker %s can't restart: %v", f.Target, err)
 		}
 		end()
+	case WorkerLeave:
+		if err := servers.leave(ctx, f); err != nil {
+			l.recordViolation("worker %s can't restart: %v", f.Target, err)
+		}
 	case WorkerLate:
 		end := servers.late.begin(f.Target)
 		time.Sleep(f.Duration)
