Read-through: comments, and one answer of tests in place of two

No change of what the program does. TestOrders and TestWrongAddress share answerPollsReplaced; the model of a worker that leaves tells its acknowledged drain from its calls.

--- a/internal/control/runs/announcement_test.go
+++ b/internal/control/runs/announcement_test.go
@@ -77,21 +77,11 @@
 	start := x.orders.take("start")[0]
 	start.answer(nil)
 	x.elect(2)
-	answer := func() {
-		for _, o := range x.orders.take("poll") {
-			if o.worker == start.worker {
-				o.answerPoll(pj.PollResponse{}, &pj.RefusedError{Reason: pj.RefusedIncarnation})
-				continue
-			}
-			o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
-		}
-		x.flush()
-	}
 	elected := x.clock.now
 	var restarted []*order
 	for len(restarted) == 0 && x.clock.now < elected+2*runs.DefaultMaxLease {
 		x.advance(100 * time.Millisecond)
-		answer()
+		x.answerPollsReplaced(start.worker)
 		restarted = x.orders.take("start")
 	}
 	x.is.Equal(len(restarted), 1)
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -224,6 +224,18 @@
 	x.c.Flush()
 }
 
+// answerPollsReplaced answers all polls; those of one worker are answered by another worker at its address.
+func (x *cell) answerPollsReplaced(worker string) {
+	for _, o := range x.orders.take("poll") {
+		if o.worker == worker {
+			o.answerPoll(pj.PollResponse{}, &pj.RefusedError{Reason: pj.RefusedIncarnation})
+			continue
+		}
+		o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
+	}
+	x.flush()
+}
+
 // answerPollsRunning answers all polls with the given runs.
 func (x *cell) answerPollsRunning(starts []*order) {
 	responses := make(map[string]pj.PollResponse)
--- a/internal/control/runs/orders_test.go
+++ b/internal/control/runs/orders_test.go
@@ -164,14 +164,7 @@
 			var again []*order
 			for len(again) == 0 && x.clock.now < sent+2*runs.DefaultLease {
 				x.advance(100 * time.Millisecond)
-				for _, o := range x.orders.take("poll") {
-					if o.worker == start.worker {
-						o.answerPoll(pj.PollResponse{}, &pj.RefusedError{Reason: pj.RefusedIncarnation})
-						continue
-					}
-					o.answerPoll(pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}, nil)
-				}
-				x.flush()
+				x.answerPollsReplaced(start.worker)
 				again = x.orders.take("start")
 			}
 			x.is.Equal(len(again), 1)
--- a/internal/control/runs/simleave_test.go
+++ b/internal/control/runs/simleave_test.go
@@ -24,8 +24,9 @@
 	random    *rand.Rand
 	withdraws bool // it goes on serving after all, perhaps after a leave call
 	waits     bool // for an answer; else it exits right after its first call
+	acked     bool // its drain was acknowledged
 	calls     int
-	over      bool
+	over      bool // it has exited or withdrawn its drain
 }
 
 // drain makes the present incarnation of a worker drain; once that is acknowledged, it leaves.
@@ -41,10 +42,10 @@
 
 // acknowledged follows the first acknowledgement of an announcement that the worker drains.
 func (d *simLeave) acknowledged() {
-	if d.calls > 0 {
+	if d.acked {
 		return
 	}
-	d.calls++
+	d.acked = true
 	d.s.after(simDrain+time.Duration(d.random.Int64N(int64(simDrainLonger))), d.worker.id, d.call)
 }
 
@@ -53,7 +54,7 @@
 	if d.ended || d.over {
 		return
 	}
-	if d.calls > simLeaveCalls {
+	if d.calls == simLeaveCalls {
 		d.exit("unanswered")
 		return
 	}
@@ -65,9 +66,9 @@
 	case fate == 2:
 		transit, answered = lateFrom+time.Duration(d.random.Int64N(int64(lateUntil-lateFrom))), false
 	case fate == 3:
-		transit = simLeaveTimeout // it never arrives in time
+		transit = simLeaveTimeout // it arrives when the worker has given it up
 	}
-	d.s.record(d.worker.id, pj.TaskID{}, "leave call %d of incarnation %d sent, arrives in %s, answered %v", d.calls-1, d.born, transit, answered)
+	d.s.record(d.worker.id, pj.TaskID{}, "leave call %d of incarnation %d sent, arrives in %s, answered %v", d.calls, d.born, transit, answered)
 	d.s.after(transit, d.worker.id, func() { d.carryOut(sent+transit, answered) })
 	switch {
 	case d.withdraws:
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -178,8 +178,8 @@
 }
 
 // Leave stops the runs of a draining worker and then removes it. done is called with true once that is committed. With false, the worker
-// should not exit yet, and the call must be repeated: the runs can't start elsewhere before the worker has listed their ends or its lease
-// has expired.
+// should not exit yet, and the call must be repeated: the tasks can't start elsewhere before the worker has listed the ends of the runs or its
+// lease has expired.
 func (c *Controller) Leave(id string, done func(removed bool, err error)) {
 	w := c.workers[id]
 	if w == nil || !w.Draining {
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -78,8 +78,8 @@
 	syncing       chan struct{}      // holds an element while an exchange about rules is in progress
 	refusalSyncs  singleflight.Group // exchanges for requests that the held rules refuse
 	leaderChanged chan struct{}      // wakes the sync loop
-	stopping      atomic.Bool
-	receivedCalls atomic.Int64 // operations that other VMs have called here
+	stopping      atomic.Bool        // set by PrepareStop
+	receivedCalls atomic.Int64       // operations that other VMs have called here
 
 	mu            sync.Mutex
 	members       []string // VMs of the group, as of the leader's last sync reply
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -253,7 +253,7 @@
 // Parameters of the calls for a worker that leaves.
 const (
 	leaveCheckInterval = 50 * time.Millisecond
-	maxLeaveWait       = 5 * time.Second // the worker repeats its call after a second without a response
+	maxLeaveWait       = 5 * time.Second // after which a caller that still waits is told to repeat its call; workers repeat it after a second
 )
 
 // Leave removes a worker that is shutting down. It returns nil once all runs of the worker have ended, so that a worker that waits for it
--- a/internal/soak/leave.go
+++ b/internal/soak/leave.go
@@ -24,7 +24,7 @@
 	maxAwayTime      = 2 * time.Second // until it is back under its id
 )
 
-// What happens to a leave call: the other half are answered.
+// What happens to a leave call, by a number below leaveFates. With the other numbers it is answered.
 const (
 	leaveLost       = iota // it is never carried out
 	leaveLate              // it is carried out later, whatever has become of the worker
