Cell: a VM that is stopping hands on the lead whenever it has it

What callers would see: a VM that stops gets the lead again, by an election or from a leader that hasn't heard of the stop. PrepareStop looks once; after that the VM leads until its process ends, which takes 0.7 s, or up to 5.5 s if a leave call waits there. Then the others need an election, 0.5 to 1.4 s without a leader. Relays, advisors and read replicas that stop are used for up to 1.5 s after their end, so that orders and queries fail and are sent again.

Change: while a VM is stopping it transfers the lead on each tick on which it leads, and PrepareStop waits for a voter that has caught up. It stands for election after the others, unless they need its log. It tells the leader at once that it stops, and gets neither orders, queries for advice nor reads from then on. Its leave calls are answered, for the worker to repeat them elsewhere.

Tests, each failed before: TestStoppingVMHandsOnLead (waits for ever, 30 s timeout), TestLeaveAtStoppingVM, TestRelayFor "replica that is stopping"; TestStoppingMemberStandsLast is of a call that didn't exist.

--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -28,6 +28,9 @@
 // margin allows for clocks that run at different rates.
 const leaseFraction = 0.85
 
+// stoppingRank is added to the rank of a member that is stopping; more than the ranks of the others differ by.
+const stoppingRank = 2
+
 // Errors returned by Core.
 var (
 	ErrNotLeader     = errors.New("this member is not the leader")
@@ -79,6 +82,7 @@
 	leaderID         string
 	membership       pj.Membership // latest in the log, committed or not
 	passive          bool          // takes no part in the protocol, because its disk is failing or stalled
+	stopping         bool          // its process is about to end, so the other members start elections first
 	savedState       pj.HardState  // as of the last write
 	nextElection     time.Duration // when this member starts an election unless the timer is reset
 	rejectVotesUntil time.Duration // votes are refused until then, because a leader's lease may rely on it
@@ -169,6 +173,18 @@
 	c.passive = passive
 }
 
+// SetStopping tells the member that its process is about to end. It goes on voting, but starts elections later than the other members do, unless they
+// can't win without its log.
+func (c *Core) SetStopping(now time.Duration) {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	if c.role != leader {
+		c.resetElectionTimer(now)
+	}
+}
+
 // Propose appends a command to the log if this member is the leader.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
 	if c.role != leader {
@@ -290,8 +306,11 @@
 }
 
 func (c *Core) resetElectionTimer(now time.Duration) {
-	timeout := c.options.ElectionTimeout
-	c.nextElection = now + timeout*time.Duration(c.options.Rank) + c.withJitter(timeout)
+	timeout, rank := c.options.ElectionTimeout, c.options.Rank
+	if c.stopping {
+		rank += stoppingRank
+	}
+	c.nextElection = now + timeout*time.Duration(rank) + c.withJitter(timeout)
 }
 
 // withJitter returns a random duration between base and twice base, so that members don't act at the
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -354,3 +355,40 @@
 		})
 	}
 }
+
+// TestStoppingMemberStandsLast guards against the election of a member whose process is about to end, while another one can be elected.
+func TestStoppingMemberStandsLast(t *testing.T) {
+	preVote := func(index uint64) pj.PeerMessage {
+		return pj.PeerMessage{Kind: pj.MessagePreVote, From: other, To: self, Term: 2, Index: index, LogTerm: 1}
+	}
+	tests := map[string]struct {
+		stopping bool
+		request  *pj.PeerMessage // received shortly before the election timeout ends
+		after    time.Duration   // time after which the member stands for election
+	}{
+		"a member":                              {after: timeout},
+		"a member that is stopping":             {stopping: true, after: 3 * timeout},
+		"a member whose log the others need":    {stopping: true, request: new(preVote(0)), after: timeout},
+		"a member whose log the others don't":   {stopping: true, request: new(preVote(1)), after: 3 * timeout},
+		"a member that isn't, and is asked for": {request: new(preVote(1)), after: timeout},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(0, self, other, third)
+			if tc.stopping {
+				c.SetStopping(0)
+			}
+			if tc.request != nil {
+				c.Step(timeout, *tc.request)
+				processReady(c, timeout)
+			}
+			stands := func(now time.Duration) bool {
+				c.Tick(now)
+				return slices.ContainsFunc(processReady(c, now).Messages, func(m pj.PeerMessage) bool { return m.Kind == pj.MessagePreVote })
+			}
+			is.True(!stands(tc.after - 1))
+			is.True(stands(tc.after))
+		})
+	}
+}
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -77,7 +77,7 @@
 	limiter       *limiter           // of calls to the leader on behalf of callers
 	syncing       chan struct{}      // holds an element while an exchange about rules is in progress
 	refusalSyncs  singleflight.Group // exchanges for requests that the held rules refuse
-	leaderChanged chan struct{}      // wakes the sync loop
+	resync        chan struct{}      // wakes the sync loop
 	stopping      atomic.Bool        // set by PrepareStop
 	receivedCalls atomic.Int64       // operations that other VMs have called here
 
@@ -90,7 +90,7 @@
 // New starts a VM and returns a function that stops it.
 func New(options Options) (*VM, func(), error) {
 	clock := bootclock.New()
-	v := &VM{options: options, clock: clock, ruleCache: rulecache.New(clock, rulesLease(options.MaxRulesDelay)), finalStates: newFinalStateCache(maxFinalStates), limiter: newLimiter(clock), leaderChanged: make(chan struct{}, 1), syncing: make(chan struct{}, 1)}
+	v := &VM{options: options, clock: clock, ruleCache: rulecache.New(clock, rulesLease(options.MaxRulesDelay)), finalStates: newFinalStateCache(maxFinalStates), limiter: newLimiter(clock), resync: make(chan struct{}, 1), syncing: make(chan struct{}, 1)}
 	transport, closeTransport := peer.NewTransport(options.Address, addressOf, nil, peer.NewTraffic(options.Metrics))
 	v.transport = transport
 	options.Metrics.GetOrCreateGauge("papaya_rules_version", func() float64 { return float64(v.ruleCache.Rules().Version) })
@@ -202,11 +202,11 @@
 	defer ticker.Stop()
 	lost := true
 	for {
-		err := v.syncUnlessLeaderChanges(ctx)
+		err := v.syncUnlessWoken(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errLeaderChanged) {
+		if errors.Is(err, errResync) {
 			continue
 		}
 		if lost != (err != nil) {
@@ -217,17 +217,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-v.leaderChanged:
+		case <-v.resync:
 		}
 	}
 }
 
-// errLeaderChanged is the result of a sync that was abandoned because another VM leads now.
-var errLeaderChanged = errors.New("the leader has changed")
+// errResync is the result of a sync that was abandoned because it is out of date.
+var errResync = errors.New("the leader has changed, or this VM is stopping")
 
-// syncUnlessLeaderChanges is SyncRules, but returns errLeaderChanged as soon as this VM learns of another leader: the former one
-// may not answer any more.
-func (v *VM) syncUnlessLeaderChanges(ctx context.Context) error {
+// syncUnlessWoken is SyncRules, but returns errResync as soon as this VM learns of another leader, as the former one may not answer any more, or
+// has something else to tell.
+func (v *VM) syncUnlessWoken(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 1)
@@ -235,9 +235,9 @@
 	select {
 	case err := <-done:
 		return err
-	case <-v.leaderChanged:
+	case <-v.resync:
 		cancel()
-		return errors.Join(errLeaderChanged, <-done)
+		return errors.Join(errResync, <-done)
 	}
 }
 
@@ -245,8 +245,13 @@
 // soon knows this VM.
 func (v *VM) setLeader(leader string) {
 	v.leaderClient.SetLeader(Group, leader)
+	v.wakeSyncLoop()
+}
+
+// wakeSyncLoop makes the sync loop send a request now, in place of one that waits for an answer.
+func (v *VM) wakeSyncLoop() {
 	select {
-	case v.leaderChanged <- struct{}{}:
+	case v.resync <- struct{}{}:
 	default:
 	}
 }
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -258,7 +258,7 @@
 			s.fleet.SetUnresponsive("w0", false)
 		},
 		"worker leaves while it runs tasks":                                   func(s *system) { s.leaveWithRuns() },
-		"worker leaves while it runs tasks, and the leader is lost meanwhile": func(s *system) { s.leaveWithRuns(func() { s.stop(s.leader()) }) },
+		"worker leaves while it runs tasks, and the leader is lost meanwhile": func(s *system) { s.leaveWithRuns(func(string) { s.stop(s.leader()) }) },
 		"workflow is cancelled": func(s *system) {
 			s.submit("a", pj.Step{Tasks: 500, Task: pj.NewResources(4, 1, 0, 0)})
 			s.eventually("it is cancelled", func(ctx context.Context) bool { return s.entry().Cancel(ctx, team(), "a") == nil })
@@ -298,7 +298,7 @@
 }
 
 // leaveWithRuns checks that a worker which drains, and whose leave call is answered, has no runs any more, and that its tasks complete elsewhere.
-func (s *system) leaveWithRuns(faults ...func()) {
+func (s *system) leaveWithRuns(faults ...func(leaver string)) {
 	s.fleet.VaryRunTimes(func(pj.TaskID) time.Duration { return time.Hour })
 	s.submit("long", pj.Step{Tasks: 4, Task: pj.NewResources(8, 1, 0, 0)})
 	var leaver pj.PolledWorker
@@ -314,7 +314,7 @@
 		return err == nil
 	})
 	for _, fault := range faults {
-		fault()
+		fault(leaver.ID)
 	}
 	s.eventually("its leave call is answered", func(ctx context.Context) bool { return s.entry().Leave(ctx, leaver.ID) == nil })
 	s.is.Equal(s.fleet.Runs(leaver.ID), 0)
@@ -322,6 +322,28 @@
 	s.awaitComplete("long")
 }
 
+// TestStoppingVMHandsOnLead guards against a VM that leads until its process ends, because it was elected while it was stopping.
+func TestStoppingVMHandsOnLead(t *testing.T) {
+	s := newSystem(t, 3)
+	for range 2 {
+		s.vms[s.leader()].vm.PrepareStop(t.Context())
+	}
+	last := s.leader()
+	s.stop(last)
+	s.is.True(s.leader() != last) // nobody else is left to lead
+	s.start(last, true, false)
+	s.eventually("the only VM that isn't stopping leads", func(context.Context) bool { return s.leader() == last })
+}
+
+// TestLeaveAtStoppingVM guards against a leave call that keeps a stopping VM from ending: it is answered, for the worker to repeat it elsewhere.
+func TestLeaveAtStoppingVM(t *testing.T) {
+	s := newSystem(t, 3)
+	s.leaveWithRuns(func(leaver string) {
+		s.entry().PrepareStop(t.Context())
+		s.is.True(s.entry().Leave(t.Context(), leaver) != nil)
+	})
+}
+
 // TestLeaveThroughRelays covers a worker that leaves a large fleet, whose runs are stopped by a relay.
 func TestLeaveThroughRelays(t *testing.T) {
 	s := newSystem(t, 120)
--- a/internal/server/cluster/entry.go
+++ b/internal/server/cluster/entry.go
@@ -257,7 +257,7 @@
 )
 
 // Leave removes a worker that is shutting down. It returns nil once all runs of the worker have ended, so that a worker that waits for it
-// doesn't end them by its exit.
+// doesn't end them by its exit. A VM that is stopping doesn't wait: the worker repeats its call elsewhere.
 func (v *VM) Leave(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, maxLeaveWait)
 	defer cancel()
@@ -269,7 +269,7 @@
 		if !reply.Pending {
 			return nil
 		}
-		if !leaderclient.Sleep(ctx, leaveCheckInterval) {
+		if v.stopping.Load() || !leaderclient.Sleep(ctx, leaveCheckInterval) {
 			return pj.Fail(pj.CodeOutcomeUnknown, "runs of worker %s are still being stopped", id)
 		}
 	}
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -206,31 +206,38 @@
 	}
 }
 
-// transferLeadership starts a transfer of the leadership to another voter that has the whole log. It returns false if this
-// VM does not lead or no such voter exists.
-func (r *replica) transferLeadership(now time.Duration) bool {
-	if r.group == nil || !r.group.Leadership().IsLeader {
+// prepareStop makes the other voters stand for election first, and transfers the leadership to another voter that has the whole log whenever this VM
+// leads: an election or a leader that doesn't know yet that this VM is stopping may give it the lead again. It returns false if this VM does not lead or
+// is the only voter.
+func (r *replica) prepareStop(now time.Duration) bool {
+	if r.group == nil {
 		return false
 	}
-	for _, id := range r.group.Membership().Voters {
+	r.group.Core().SetStopping(now)
+	voters := r.group.Membership().Voters
+	if !r.group.Leadership().IsLeader || len(voters) == 1 {
+		return false
+	}
+	for _, id := range voters {
 		if id != r.host.ID() && !r.peers[control.VMOf(id)].stopping && r.group.Core().CaughtUp(id) && r.group.Core().AckedWithin(now, id, maxMemberAckAge) {
 			_ = r.group.Core().Transfer(now, id) // fails if a transfer is already in progress
-			return true
+			break
 		}
 	}
-	return false
+	return true
 }
 
-// PrepareStop transfers the leadership to another voter, and waits until this VM no longer leads or ctx ends. It returns at once if there
-// is no voter to transfer to. From then on the leader knows that this VM is about to stop, and doesn't transfer the leadership to it.
+// PrepareStop transfers the leadership to another voter, and waits until this VM no longer leads or ctx ends. It returns at once if this VM is the only
+// voter. From then on the leader knows that this VM is about to stop: it gives it neither the lead nor work on its behalf.
 func (v *VM) PrepareStop(ctx context.Context) {
 	v.stopping.Store(true)
+	v.wakeSyncLoop()
 	if v.replica == nil {
 		return
 	}
 	for ctx.Err() == nil {
-		transferring := false
-		if err := v.replica.loop.Do(ctx, func() { transferring = v.replica.transferLeadership(v.clock.Now()) }); err != nil || !transferring {
+		leads := false
+		if err := v.replica.loop.Do(ctx, func() { leads = v.replica.prepareStop(v.clock.Now()) }); err != nil || !leads {
 			return
 		}
 		if !leaderclient.Sleep(ctx, tickInterval) {
--- a/internal/server/cluster/operations.go
+++ b/internal/server/cluster/operations.go
@@ -57,7 +57,11 @@
 func (r *replica) runSync(ctx context.Context, s syncRequest) (syncReply, error) {
 	return runIfLeader(ctx, r, func(reply func(syncReply, error)) {
 		now := r.vm.clock.Now()
-		r.advisorSyncedAt[s.VM] = now
+		if s.Stopping {
+			delete(r.advisorSyncedAt, s.VM)
+		} else {
+			r.advisorSyncedAt[s.VM] = now
+		}
 		r.recordPeer(now, s)
 		rules := r.state.Rules()
 		response := syncReply{Version: rules.Version, Members: r.memberVMs(), Applied: r.group.Applied()}
--- a/internal/server/cluster/peers.go
+++ b/internal/server/cluster/peers.go
@@ -58,7 +58,7 @@
 	region := r.regionOf(zone)
 	best, bestDistance := "", 0
 	for vm, p := range r.peers {
-		if !p.replica || vm == r.vm.options.Address || now > p.lastSyncAt+maxRelaySyncAge || r.relays.link(vm).backoffUntil > now {
+		if !p.replica || p.stopping || vm == r.vm.options.Address || now > p.lastSyncAt+maxRelaySyncAge || r.relays.link(vm).backoffUntil > now {
 			continue
 		}
 		distance := p.distance(zone, region)*relayDistanceWeight + zonesServed[vm]
--- a/internal/server/cluster/peers_test.go
+++ b/internal/server/cluster/peers_test.go
@@ -47,6 +47,9 @@
 		"replica without recent sync request is not used": {
 			peers: map[string]peerInfo{"a": {zone: "zone-1", region: "west", replica: true, lastSyncAt: now - 2*maxRelaySyncAge}}, zone: "zone-1",
 		},
+		"replica that is stopping is not used": {
+			peers: map[string]peerInfo{"a": {zone: "zone-1", region: "west", replica: true, lastSyncAt: now, stopping: true}, "b": syncedNow("zone-3", "east")}, zone: "zone-1", relay: "b",
+		},
 		"replica in backoff is not used": {
 			peers: map[string]peerInfo{"a": syncedNow("zone-1", "west"), "b": syncedNow("zone-3", "east")}, backoff: "a", zone: "zone-1", relay: "b",
 		},
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -40,7 +40,7 @@
 	group           *control.Group // nil until the member has started
 	state           *workflow.State
 	controller      *runs.Controller         // nil unless this VM leads
-	advisorSyncedAt map[string]time.Duration // when a VM last sent a sync request; kept when the leadership changes, unlike peers
+	advisorSyncedAt map[string]time.Duration // when a VM that isn't stopping last sent a sync request; kept when the leadership changes, unlike peers
 	joinRequestedAt map[string]time.Duration // when a member last requested to join
 	peers           map[string]peerInfo      // by VM, since this VM became leader
 	leaderSince     time.Duration
@@ -110,6 +110,9 @@
 	if r.group != nil {
 		r.loadMeter.report(now)
 		r.followLeader()
+		if r.vm.stopping.Load() {
+			r.prepareStop(now)
+		}
 	}
 	if r.controller == nil || now < r.controlRanAt+controlInterval || r.awaitsRelays(now) {
 		return
