App, daemon: requests that are open at the end of a stop are answered in time, on slow VMs too

papayacell: 0.5 s lay between the end of the open requests' contexts and the kill, whatever the VM's speed; and the shutdown of the servers had a whole grace period after it, so that a connection that had sent nothing kept a replica there for 5 s. Now the last sixth of the grace period is for closing, 1 s of 6, and the shutdown lasts no longer.

papayad: requests that lasted longer than the drain timeout went on for as long again and 5 s, and then the process ended with their connections. Now they are aborted and answered at the end of the drain timeout, which is documented as the longest wait.

Test: TestStopAnswersLongRequests; before, its requests went on after the drain timeout.

--- a/internal/server/api/api.go
+++ b/internal/server/api/api.go
@@ -21,6 +21,7 @@
 
 	pj "papayajunction"
 	"papayajunction/internal/config/settings"
+	"papayajunction/internal/server/app"
 	"papayajunction/internal/server/node"
 	"papayajunction/internal/traffic/dispatch"
 	"papayajunction/internal/traffic/filter"
@@ -48,12 +49,15 @@
 	waitingCallers atomic.Int64 // callers that are waiting for a job
 	stop           context.CancelFunc
 	stopped        context.Context //nolint:containedctx // ends long polls when the VM stops
+	abort          context.CancelFunc
+	aborted        context.Context //nolint:containedctx // ends the requests that are open, or arrive, when the VM no longer waits for them
 }
 
 // New returns the API of a VM and a function that releases its resources.
 func New(s settings.Settings, n *node.Node, logger kitlog.Logger, set *metrics.Set) (*API, func()) {
 	a := &API{settings: s, node: n, metrics: set, logger: logger, limiter: filter.NewLimiter(s.MaxInFlight)}
 	a.stopped, a.stop = context.WithCancel(context.Background())
+	a.aborted, a.abort = context.WithCancel(context.Background())
 	zones := append([]string{s.Zone}, n.Topology().OtherZones(s.Zone)...)
 	dispatcher, closeDispatcher := dispatch.New(n, n.Clock(), s.VM, zones, s.MaxBodyBytes)
 	a.chain = filter.Chain(dispatcher,
@@ -87,7 +91,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", a.ready)
 	mux.HandleFunc("GET /metrics", a.writeMetrics)
-	return a.countActive(mux)
+	return a.countActive(app.EndWith(a.aborted, mux))
 }
 
 // countActive counts requests in flight. While the VM is stopping, it makes clients close their connection, so that they
@@ -124,6 +128,11 @@
 	a.rejectingWork.Store(true)
 }
 
+// AbortRequests ends the contexts of the requests in flight, whose handlers then answer.
+func (a *API) AbortRequests() {
+	a.abort()
+}
+
 func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
 	if a.notReady.Load() || !a.node.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/internal/server/app/app.go
+++ b/internal/server/app/app.go
@@ -23,7 +23,7 @@
 	idleTimeout        = 15 * time.Second
 	maxHeaderBytes     = 16 << 10
 	activePollInterval = 20 * time.Millisecond
-	closeReserve       = 500 * time.Millisecond // the part of the grace period that is reserved for closing the servers; requests that are open then are aborted
+	closeFraction      = 6 // of the grace period, the last one in so many is reserved for closing the servers; requests that are open then are aborted
 )
 
 // Server configures one HTTP server of the process.
@@ -62,7 +62,7 @@
 	a.aborted, a.abort = context.WithCancel(context.Background())
 	kratoslog.SetLogger(options.Logger)
 	kratosOptions := []kratos.Option{
-		kratos.Name(options.Name), kratos.ID(options.ID), kratos.BeforeStop(a.drain), kratos.StopTimeout(options.GracePeriod),
+		kratos.Name(options.Name), kratos.ID(options.ID), kratos.BeforeStop(a.drain), kratos.StopTimeout(a.closeTime()),
 	}
 	servers := make([]transport.Server, 0, len(options.Servers))
 	var listeners []net.Listener
@@ -101,7 +101,7 @@
 	// The handler bypasses the framework's router, which costs CPU time on each request.
 	server.Handler = s.Handler
 	if s.ServesCallers {
-		server.Handler = a.countActive(s.Handler)
+		server.Handler = a.countActive(EndWith(a.aborted, s.Handler))
 	}
 	return server
 }
@@ -114,7 +114,7 @@
 }
 
 // countActive counts requests in flight. While the process is stopping, it makes clients close their connection, so that
-// they connect to another VM. Before the process ends, it ends the contexts of the requests, whose handlers then answer.
+// they connect to another VM.
 func (a *App) countActive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.active.Add(1)
@@ -122,10 +122,17 @@
 		if a.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		ctx, cancel := context.WithCancel(r.Context())
+		next.ServeHTTP(w, r)
+	})
+}
+
+// EndWith returns a handler that ends the contexts of its requests when ctx ends, also of those that arrive later.
+func EndWith(ctx context.Context, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requestCtx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		defer context.AfterFunc(a.aborted, cancel)()
-		next.ServeHTTP(w, r.WithContext(ctx))
+		defer context.AfterFunc(ctx, cancel)()
+		next.ServeHTTP(w, r.WithContext(requestCtx))
 	})
 }
 
@@ -150,12 +157,17 @@
 	return nil
 }
 
+// closeTime returns the part of the grace period that is reserved for closing the servers. A connection that doesn't end by then ends with the process.
+func (a *App) closeTime() time.Duration {
+	return a.options.GracePeriod / closeFraction
+}
+
 // drain is called before the servers close. It calls the stop hook, then still serves new requests for the configured
 // time, then waits until no request is in flight. Shortly before the end of the grace period it aborts those that are, as the process
 // would be killed while they wait.
 func (a *App) drain(context.Context) error {
 	a.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), a.options.GracePeriod-closeReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), a.options.GracePeriod-a.closeTime())
 	defer cancel()
 	if a.options.OnStop != nil {
 		a.options.OnStop(ctx)
--- a/internal/server/app/app_test.go
+++ b/internal/server/app/app_test.go
@@ -49,7 +49,7 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
-	a, err := New(Options{Logger: kratoslog.DefaultLogger, GracePeriod: closeReserve + 100*time.Millisecond, Servers: []Server{{Address: address, Handler: handler, ServesCallers: true}}})
+	a, err := New(Options{Logger: kratoslog.DefaultLogger, GracePeriod: time.Second, Servers: []Server{{Address: address, Handler: handler, ServesCallers: true}}})
 	is.NoErr(err)
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.Run() }()
--- a/internal/server/daemon/daemon.go
+++ b/internal/server/daemon/daemon.go
@@ -30,7 +30,7 @@
 	notReadyDelay             = 2 * time.Second // new requests are still served for this time after /readyz starts to fail
 	leadershipTransferTimeout = 3 * time.Second
 	activePollInterval        = 20 * time.Millisecond
-	stopSlack                 = 5 * time.Second // added to the drain timeout for closing the server
+	closeTimeout              = 5 * time.Second // after the drain, for closing the server
 	gcPercent                 = 60
 )
 
@@ -95,7 +95,7 @@
 	frameworkLoggerOnce.Do(func() { kratoslog.SetLogger(frameworkLogger{logger: logger}) })
 	d.app = kratos.New(
 		kratos.Name("papayad"), kratos.ID(s.VM), kratos.Server(server),
-		kratos.BeforeStop(d.drain), kratos.StopTimeout(s.DrainTimeout+stopSlack),
+		kratos.BeforeStop(d.drain), kratos.StopTimeout(closeTimeout),
 	)
 	cleanup := func() {
 		closeAPI()
@@ -126,7 +126,7 @@
 }
 
 // drain is called before the server closes. It makes /readyz fail; if there are other VMs, it transfers leaderships and
-// waits for notReadyDelay; then it rejects new work and waits for the requests in flight.
+// waits for notReadyDelay; then it rejects new work and waits for the requests in flight, which it aborts at the end of the drain timeout.
 func (d *Daemon) drain(context.Context) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 	defer cancel()
@@ -141,8 +141,9 @@
 	for ctx.Err() == nil && d.api.ActiveRequests() > 0 {
 		sleep(ctx, activePollInterval)
 	}
-	d.closeStreams()
 	_ = d.logger.Log("event", "drained", "in_flight", d.api.ActiveRequests())
+	d.api.AbortRequests()
+	d.closeStreams()
 	return nil
 }
 
--- a/internal/server/daemon/daemon_test.go
+++ b/internal/server/daemon/daemon_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// TestStopAnswersLongRequests guards against requests that a stopping process holds for longer than the drain timeout and never answers.
+func TestStopAnswersLongRequests(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, 4*time.Second) // longer than the drain timeout
+	errs := s.startConcurrentCalls(t, func() error {
+		_, err := s.client.Request(context.Background(), "quick", []byte("x"))
+		return err
+	})
+	is.NoErr(s.daemon.Stop())
+	for range concurrentCalls {
+		var e *pj.Error
+		is.True(errors.As(<-errs, &e))
+		is.Equal(e.NotRun, false) // an endpoint has it
+	}
+	is.NoErr(<-s.runErr)
+}
+
 // concurrentCalls is the number of calls in flight when a VM is stopped.
 const concurrentCalls = 8
 
