App: closing the servers leaves time for the process to end

The shutdown of the peer server takes 1 s, as HTTP/2 connections stay open that long, so a busy entry, which drains until the last sixth of the grace time, closes its servers at its very end.

Change: half of the last sixth is for the servers; connections that remain end with the process. Before, such a stop ended with an error.

Test: TestStopEndsBesideStuckRequest; before, the process ended with an error, after its grace time.

--- a/internal/server/app/app.go
+++ b/internal/server/app/app.go
@@ -23,7 +23,7 @@
 	idleTimeout        = 15 * time.Second
 	maxHeaderBytes     = 16 << 10
 	activePollInterval = 20 * time.Millisecond
-	closeFraction      = 6 // of the grace period, the last one in so many is reserved for closing the servers; requests that are open then are aborted
+	closeFraction      = 6 // of the grace period, the last one in so many is reserved for closing; requests that are open then are aborted
 )
 
 // Server configures one HTTP server of the process.
@@ -62,7 +62,7 @@
 	a.aborted, a.abort = context.WithCancel(context.Background())
 	kratoslog.SetLogger(options.Logger)
 	kratosOptions := []kratos.Option{
-		kratos.Name(options.Name), kratos.ID(options.ID), kratos.BeforeStop(a.drain), kratos.StopTimeout(a.closeTime()),
+		kratos.Name(options.Name), kratos.ID(options.ID), kratos.BeforeStop(a.drain), kratos.StopTimeout(a.closeTime() / 2),
 	}
 	servers := make([]transport.Server, 0, len(options.Servers))
 	var listeners []net.Listener
@@ -141,9 +141,9 @@
 	return a.stopping.Load()
 }
 
-// Run serves until SIGTERM or SIGINT.
+// Run serves until SIGTERM or SIGINT. Connections that don't end in time are no error: HTTP/2 connections stay open for a second after their last stream.
 func (a *App) Run() error {
-	if err := a.kratos.Run(); err != nil {
+	if err := a.kratos.Run(); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
@@ -157,7 +157,8 @@
 	return nil
 }
 
-// closeTime returns the part of the grace period that is reserved for closing the servers. A connection that doesn't end by then ends with the process.
+// closeTime returns the part of the grace period that is reserved for closing: one half for the servers, whose remaining connections end with the
+// process, and one for what the process holds besides.
 func (a *App) closeTime() time.Duration {
 	return a.options.GracePeriod / closeFraction
 }
