Soak: rolling restarts of the leader and the entries, beside callers that use open connections

SOAK_ROLLS=true plays its schedule with real processes: in rounds, the leader gets SIGTERM and both entries 0.6 to 0.8 s later; in a third of the rounds it is stopped or killed while the entries answer their last requests. 24 callers use open connections, also to a stopping entry. A request that was written whole and whose connection ends without a complete answer more than 200 ms later is a violation, and so is a VM that is still there at the end of its grace time. The zones lie in two regions, so that ranks differ; who leads is read from the replicas' logs.

--- a/cmd/papayasoak/main.go
+++ b/cmd/papayasoak/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
@@ -39,6 +40,7 @@
 	restarts := flags.Bool("restarts", true, "workers also restart under their ids, with other clocks")
 	leaves := flags.Bool("leaves", true, "workers also drain, leave and come back under their ids")
 	lateStarts := flags.Bool("late_starts", false, "starts that are carried out late may reach a later incarnation of a worker")
+	rolls := flags.Bool("rolls", false, "rolling restarts of the leader and the entries, in place of the other faults of VMs")
 	outlive := flags.Bool("outlive", true, "connections and calls to workers may outlive restarts of workers")
 	completionTimeout := flags.Duration("patience", 0, "maximum wait for accepted jobs to end after the run; 0 for no limit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("PAPAYASOAK")); err != nil {
@@ -53,7 +55,7 @@
 		return exitCode(out, fmt.Errorf("size %q is not one of small, large", *sizeName))
 	}
 	if *verb == settingsVerb {
-		names, err := size.WriteSettings(*dir)
+		names, err := size.WriteSettings(*dir, *rolls)
 		for _, name := range names {
 			_, _ = fmt.Fprintln(instructions, name)
 		}
@@ -61,7 +63,7 @@
 	}
 	client, closeClient := platform.NewAPIClient(callTimeout)
 	defer closeClient()
-	options := soak.Options{Seed: *seed, Size: size, Duration: *duration, CompletionTimeout: *completionTimeout, Client: client, NewWorker: platform.NewWorkerHandler, WorkerRestarts: *restarts, WorkerLeaves: *leaves, OutlivingCalls: *outlive, LateStarts: *lateStarts}
+	options := soak.Options{Seed: *seed, Size: size, Duration: *duration, CompletionTimeout: *completionTimeout, Client: client, NewWorker: platform.NewWorkerHandler, WorkerRestarts: *restarts, WorkerLeaves: *leaves, OutlivingCalls: *outlive, LateStarts: *lateStarts, Rolls: *rolls, NewClient: newClient}
 	violations, err := soak.Run(context.Background(), options, instructions, out)
 	for _, v := range violations {
 		_, _ = fmt.Fprintln(out, "BROKEN", v)
@@ -73,6 +75,10 @@
 	return exitCode(out, err)
 }
 
+func newClient(transport http.RoundTripper, timeout time.Duration) soak.Client {
+	return platform.NewAPIClientOn(transport, timeout)
+}
+
 func exitCode(out io.Writer, err error) int {
 	if err != nil {
 		_, _ = fmt.Fprintln(out, "papayasoak:", err)
--- /dev/null
+++ b/internal/soak/answers.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	pj "papayajunction"
+)
+
+// Parameters of the callers that use open connections.
+const (
+	openCallers       = 24
+	openCallerPause   = 20 * time.Millisecond // between two requests of one caller
+	openCallerTimeout = 12 * time.Second      // longer than a VM may hold a request, so that it is the VM that ends the connection
+	openCallerIDBase  = 1 << 40               // of the ids of their jobs
+	closeSlack        = 200 * time.Millisecond
+)
+
+// Answers is an HTTP transport that keeps its connections open, and counts the requests that were sent in full and whose connection ended without a
+// complete answer, later than closeSlack after that: the VM had time to read them. The zero value is ready for use.
+type Answers struct {
+	transport http.Transport
+
+	mu         sync.Mutex
+	requests   int
+	incomplete []string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a *Answers) RoundTrip(r *http.Request) (*http.Response, error) {
+	x := exchange{answers: a, address: r.URL.Host}
+	response, err := a.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GetConn:      func(string) { x.ended() }, // the transport tries again what may be repeated
+		WroteRequest: func(info httptrace.WroteRequestInfo) { x.written(info.Err == nil) },
+	})))
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		if r.Context().Err() == nil {
+			x.ended()
+		}
+		return nil, fmt.Errorf("exchange with %s: %w", r.URL.Host, err)
+	}
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return response, nil
+}
+
+// Close closes the idle connections.
+func (a *Answers) Close() {
+	a.transport.CloseIdleConnections()
+}
+
+// exchange is one request and its attempts. Its methods are safe for concurrent use, as the transport calls them on goroutines of its own.
+type exchange struct {
+	answers *Answers
+	address string
+
+	mu     sync.Mutex
+	sentAt time.Time // of the current attempt; zero if it wasn't sent in full
+}
+
+func (x *exchange) written(complete bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if complete {
+		x.sentAt = time.Now()
+	}
+}
+
+// ended is called when an attempt has ended without a complete answer, and before the first one.
+func (x *exchange) ended() {
+	x.mu.Lock()
+	held := time.Since(x.sentAt)
+	sent := !x.sentAt.IsZero()
+	x.sentAt = time.Time{}
+	x.mu.Unlock()
+	if sent && held > closeSlack {
+		x.answers.mu.Lock()
+		defer x.answers.mu.Unlock()
+		x.answers.incomplete = append(x.answers.incomplete, fmt.Sprintf("%s held a request for %v and didn't answer it, at %s", x.address, held.Round(time.Millisecond), time.Now().UTC().Format(time.RFC3339Nano)))
+	}
+}
+
+// countRequest counts one request.
+func (a *Answers) countRequest() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requests++
+}
+
+// callOpenly sends requests of one caller to one entry until ctx ends, whether that entry is stopping or not. The connection stays open for as long
+// as the entry lets it. Each second request is one that only the leader can answer.
+func (l *load) callOpenly(ctx context.Context, client Client, answers *Answers, entry, id string) {
+	route, w := newWork(id)
+	for ; ctx.Err() == nil; waitFor(ctx, openCallerPause) {
+		answers.countRequest()
+		err := client.Submit(ctx, entry, route, apiKey, w)
+		switch _, permanent := refused(err); {
+		case err == nil:
+			l.mu.Lock()
+			if l.jobs[id] == nil {
+				l.jobs[id] = &job{accepted: true}
+			}
+			l.mu.Unlock()
+		case permanent:
+			l.recordViolation("job %s was refused: %v", id, err)
+		}
+		answers.countRequest()
+		if _, err := client.State(ctx, entry, route, apiKey, id); err != nil && pj.AsError(err).Code == pj.CodeUnknownJob && l.accepted(id) {
+			l.recordViolation("job %s was accepted and is no longer found", id)
+		}
+	}
+}
+
+func (l *load) accepted(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.jobs[id] != nil && l.jobs[id].accepted
+}
+
+// startOpenCallers starts the callers that use open connections, and returns a function that waits for them after ctx has ended and records a violation
+// for each request without a complete answer.
+func (l *load) startOpenCallers(ctx context.Context, newClient func(http.RoundTripper, time.Duration) Client) (finish func(out io.Writer)) {
+	var answers Answers
+	client := newClient(&answers, openCallerTimeout)
+	answers.transport.MaxIdleConnsPerHost = openCallers
+	entries := l.addresses(entryRole, frontPort)
+	var callers sync.WaitGroup
+	for i := range openCallers {
+		callers.Go(func() { l.callOpenly(ctx, client, &answers, entries[i%len(entries)], jobID(openCallerIDBase+i)) })
+	}
+	return func(out io.Writer) {
+		callers.Wait()
+		answers.Close()
+		answers.mu.Lock()
+		defer answers.mu.Unlock()
+		for _, held := range answers.incomplete {
+			l.recordViolation("%s", held)
+		}
+		_, _ = fmt.Fprintf(out, "open_connections requests=%d unanswered=%d\n", answers.requests, len(answers.incomplete))
+	}
+}
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -96,17 +96,17 @@
 	return list
 }
 
-// WriteSettings writes the settings file of each VM into dir and returns the names of the VMs.
-func (s Size) WriteSettings(dir string) ([]string, error) {
+// WriteSettings writes the settings file of each VM into dir and returns the names of the VMs. For rolling restarts, the zones lie in two regions.
+func (s Size) WriteSettings(dir string, rolls bool) ([]string, error) {
 	var seeds, names []string
 	for _, v := range s.vms()[:seedCount] {
 		seeds = append(seeds, v.address(controlPort))
 	}
 	for i, v := range s.vms() {
 		data, err := json.MarshalIndent(map[string]any{
-			"vm": v.name, "role": v.role, "zone": zone(i), "region": "region", "ip": v.ip, "peer_port": proxyPort,
+			"vm": v.name, "role": v.role, "zone": zone(i), "region": region(i, rolls), "zones": zones(rolls), "ip": v.ip, "peer_port": proxyPort,
 			"listen_peer": v.address(peerPort), "listen_control": v.address(controlPort), "listen_front": v.address(frontPort), "listen_ready": v.address(readyPort),
-			"seeds": seeds, "bootstrap": true, "data_dir": filepath.Join(dir, v.name), "grace": "3s", "rules_within": rulesWithin.String(),
+			"seeds": seeds, "bootstrap": true, "data_dir": filepath.Join(dir, v.name), "grace": grace(rolls).String(), "rules_within": rulesWithin.String(),
 		}, "", "  ")
 		if err != nil {
 			return nil, fmt.Errorf("write settings of %s: %w", v.name, err)
@@ -123,6 +123,22 @@
 	return fmt.Sprintf("zone-%d", i%zoneCount+1)
 }
 
+// region returns the region of VM i.
+func region(i int, rolls bool) string {
+	if rolls && i%zoneCount == 1 {
+		return "small-region" // of one zone: its replica gives up the lead when another can take it; not the first one, which is preferred among equals
+	}
+	return "region"
+}
+
+// zones returns the availability zones as settings contain them.
+func zones(rolls bool) (list []string) {
+	for i := range zoneCount {
+		list = append(list, zone(i)+"="+region(i, rolls))
+	}
+	return list
+}
+
 // workers returns the stand-in workers of the cell.
 func (s Size) workers() []pj.PolledWorker {
 	var list []pj.PolledWorker
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,9 @@
 	WorkerLeaves      bool // workers also drain and leave
 	OutlivingCalls    bool // connections and calls may outlive restarts of workers
 	LateStarts        bool // late starts may be carried out by a later incarnation than they were sent to
+	// Rolling restarts of the leader and the entries take the place of the faults of VMs, beside callers that use open connections.
+	Rolls     bool
+	NewClient func(http.RoundTripper, time.Duration) Client // returns a client that uses a transport, with a timeout for each call
 }
 
 // Run injects the faults of a seed's plan into the cell. It writes the instructions for the script to instructions and its log
@@ -81,6 +85,10 @@
 		l.submitJobs(loadCtx)
 	}()
 
+	finishOpenCallers := func(io.Writer) {}
+	if o.Rolls {
+		finishOpenCallers = l.startOpenCallers(loadCtx, o.NewClient)
+	}
 	plan := o.plan(workerIDs)
 	started := time.Now()
 	var faults sync.WaitGroup
@@ -90,11 +98,12 @@
 		faults.Add(1)
 		go func() {
 			defer faults.Done()
-			injectFault(ctx, f, l, servers, proxies, instructions)
+			injectFault(ctx, f, o.stopTimeout(), l, servers, proxies, instructions)
 		}()
 	}
 	faults.Wait()
 	<-submitting
+	finishOpenCallers(out)
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
 	l.checkUse()
 	if late != nil {
@@ -114,7 +123,10 @@
 func (o *Options) plan(workers []string) []Fault {
 	replicas := o.Size.vmNames(replicaRole)
 	plan := Plan(o.Seed, o.Duration, replicas, o.Size.vmNames(entryRole), workers)
-	replicaFaults := slices.DeleteFunc(slices.Clone(plan), func(f Fault) bool { return !slices.Contains(replicas, f.Target) })
+	if o.Rolls {
+		plan = PlanRolls(o.Seed, o.Duration, o.Size.vmNames(entryRole))
+	}
+	replicaFaults := slices.DeleteFunc(slices.Clone(plan), func(f Fault) bool { return f.Target != leaderTarget && !slices.Contains(replicas, f.Target) })
 	if o.WorkerRestarts {
 		plan = append(plan, PlanRestarts(o.Seed, o.Duration, workers)...)
 	}
@@ -128,13 +140,32 @@
 	return plan
 }
 
-// stopTimeout is how long a VM has to exit after SIGTERM; its settings have a grace period of 3 s.
-const stopTimeout = 3200 * time.Millisecond
+// grace returns the grace period of the VMs' settings.
+func grace(rolls bool) time.Duration {
+	if rolls {
+		return rollGrace
+	}
+	return defaultGrace
+}
+
+// Times of a stop.
+const (
+	defaultGrace = 3 * time.Second
+	stopSlack    = 200 * time.Millisecond // after the grace period, before the script kills a process that still runs
+)
+
+// stopTimeout returns how long a VM has to exit after SIGTERM. In rolling restarts it is no longer than the VM is told.
+func (o *Options) stopTimeout() time.Duration {
+	if o.Rolls {
+		return rollGrace
+	}
+	return defaultGrace + stopSlack
+}
 
 var instructionMu sync.Mutex // keeps the lines of concurrent instructions apart
 
 // injectFault starts a fault, waits for its duration and ends it.
-func injectFault(ctx context.Context, f Fault, l *load, servers *workerServers, proxies map[string]*faultProxy, instructions io.Writer) {
+func injectFault(ctx context.Context, f Fault, stopTimeout time.Duration, l *load, servers *workerServers, proxies map[string]*faultProxy, instructions io.Writer) {
 	instruct := func(verb string) {
 		instructionMu.Lock()
 		defer instructionMu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,33 @@
 	is.True(different)
 }
 
+// TestPlanRolls checks that a seed always gives the same rolling restarts, that the leader of a round has caught up before the next round, and that
+// in some rounds it is lost while the entries answer their last requests.
+func TestPlanRolls(t *testing.T) {
+	is := is.New(t)
+	plan := func(seed uint64) []Fault { return PlanRolls(seed, 2*time.Minute, []string{"e1", "e2"}) }
+	is.Equal(plan(7), plan(7))
+	early, late := 0, 0
+	for seed := range uint64(50) {
+		leaderBack, entriesStopped := time.Duration(0), time.Duration(0)
+		for _, f := range plan(seed) {
+			switch {
+			case f.Target != leaderTarget:
+				entriesStopped = f.At
+			case f.At < entriesStopped+rollGrace:
+				late++
+			default:
+				early++
+			}
+			if f.Target == leaderTarget {
+				is.True(f.At >= max(warmUp, leaderBack))
+				leaderBack = f.At + rollGrace + rollPause
+			}
+		}
+	}
+	is.True(early > 50 && late > 50)
+}
+
 // TestFaultProxy checks the effect of each fault on existing and new connections.
 func TestFaultProxy(t *testing.T) {
 	tests := map[string]struct {
