Runs: the next leader waits for the worker of a lost run before it starts the task again

A run that counts as lost may go on when its start was carried out late. The leader that lists it as a stray run stops it and holds its task; the next leader knew nothing of it, and started the task elsewhere before that run's worker had answered its first poll: two runs of one task for up to a poll and stop_ms.

Change: a task's record names the worker of its last lost run. Runs that were lost on other workers before that aren't recorded: a task would have to lose two runs, and have both carried out late.

An older VM ignores the new field and behaves as before.

--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -23,7 +23,7 @@
 	for _, ts := range p.ranked() {
 		ts.runTime = c.expectedRunTime(ts)
 		total := len(ts.pending)
-		putBack := c.holdStrays(ts)
+		putBack := c.holdStrays(p.now, ts)
 		switch {
 		case len(ts.pending) == 0 || ts.spec.Gang && len(ts.pending) < total: // stray runs are still on workers
 		case ts.spec.Gang:
--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pj "papayajunction"
+	"papayajunction/internal/control/workflow"
 )
 
 // stray is a run that counts as ended and that a worker lists: its start order was carried out late, or its worker was out of reach for
@@ -99,14 +100,23 @@
 		slices.ContainsFunc(response.Finished, func(e pj.EndedRun) bool { return e.Run.Task == task && e.Outcome == pj.EndDone })
 }
 
-// holdStrays takes the tasks with stray runs out of the pending ones, and returns the function that puts them back.
-func (c *Controller) holdStrays(ts *taskSet) (putBack func()) {
-	if len(c.strays) == 0 {
+// mayHaveStray reports whether a worker that this leader hasn't heard yet may list a stray run of a task, which an earlier leader was stopping there.
+// A worker that stays silent delays the task no longer than one that falls silent under the same leader.
+func (c *Controller) mayHaveStray(now time.Duration, t *workflow.Task) bool {
+	w := c.workers[t.LostOn]
+	return w != nil && !w.polled && now < c.electedAt+unresponsiveAfter
+}
+
+// holdStrays takes the tasks that have stray runs, or may have, out of the pending ones, and returns the function that puts them back.
+func (c *Controller) holdStrays(now time.Duration, ts *taskSet) (putBack func()) {
+	step := ts.record.Step(ts.id)
+	if len(c.strays) == 0 && now >= c.electedAt+unresponsiveAfter || step == nil {
 		return func() {}
 	}
 	var held []int
 	ts.pending = slices.DeleteFunc(ts.pending, func(index int) bool {
 		_, stray := c.strays[pj.TaskID{StepID: ts.id, Index: index}]
+		stray = stray || c.mayHaveStray(now, &step.Tasks[index])
 		if stray {
 			held = append(held, index)
 		}
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -55,6 +55,7 @@
 	Done       bool   `json:"done,omitempty"`
 	Checkpoint string `json:"saved,omitempty"` // checkpoint to resume from
 	Worker     string `json:"worker,omitempty"`
+	LostOn     string `json:"lost_on,omitempty"` // worker of the last run that counted as lost; that run may go on there
 }
 
 // StepState is one step of one occurrence.
@@ -447,9 +448,10 @@
 	if t == nil || t.Worker == "" || t.LastRun != e.Run {
 		return
 	}
+	worker := t.Worker
 	t.Worker = ""
 	r.liveRuns--
-	s.update(r, func() { s.applyOutcome(r, t, e) })
+	s.update(r, func() { s.applyOutcome(r, t, worker, e) })
 	s.finalise(r, at)
 }
 
@@ -470,8 +472,8 @@
 	s.finalise(r, at)
 }
 
-// applyOutcome updates the record, the step and the task with the outcome of a run.
-func (s *State) applyOutcome(r *Record, t *Task, e RunEnd) {
+// applyOutcome updates the record, the step and the task with the outcome of a run on a worker.
+func (s *State) applyOutcome(r *Record, t *Task, worker string, e RunEnd) {
 	if e.Outcome != pj.EndWorkerLost && e.Outcome != pj.EndNotStarted {
 		r.Started = true
 	}
@@ -481,6 +483,8 @@
 	step := r.Step(e.Task.StepID)
 	spec := &r.Workflow.Steps[e.Task.Step]
 	switch {
+	case e.Outcome == pj.EndWorkerLost:
+		t.LostOn = worker
 	case e.Outcome == pj.EndDone && !spec.LongRunning:
 		s.finishTask(r, step, spec, t)
 	case e.Outcome == pj.EndFailed && !spec.LongRunning && !t.Done:
