Runs: a test of a run that ends as done while its worker's leave call is on its way

The case fails on (a scratch copy with the call's old signature: the task starts elsewhere within a second of the call) and passes since.

--- a/internal/control/runs/leave_test.go
+++ b/internal/control/runs/leave_test.go
@@ -85,6 +85,15 @@
 			x.is.True(x.leave())
 			x.is.Equal(x.c.WorkerCount(), 1)
 		},
+		"a run that ends as done as the call is sent isn't started again": func(x *leaver) {
+			x.is.True(!x.leave())
+			x.silent(time.Second) // the answer that lists the end is late
+			x.is.Equal(len(x.startsElsewhere()), 0)
+			x.hear(map[string]pj.PollResponse{x.worker: {Finished: []pj.EndedRun{{Number: 1, Run: x.start.run, Outcome: pj.EndDone}}}})
+			x.silent(10 * time.Second)
+			x.is.Equal(len(x.startsElsewhere()), 0)
+			x.is.Equal(x.state("a"), pj.WorkflowComplete)
+		},
 		"a worker without runs is removed at once": func(x *leaver) {
 			x.ended()
 			x.is.True(x.leave())
