Quorum: a member that is stopping says so, and no leader transfers the lead to it

A VM of papayacell said in its sync requests that it stops, so a leader elected in between didn't know; papayad didn't say it at all: of two VMs of a zone that stop together, each gave its zone's lead to the other, and the member in another zone gave it back each second, as its rank is higher. TransferLeaderships, too, looked only once.

Change: a member that is stopping marks its answers to the leader, so whoever leads knows it within a heartbeat. Core.Transfer fails for such a member. papayad hands on whatever lead it gets while it stops, as papayacell does. A transfer at a stop is logged (lead_handed_over). On the wire it is the flag of transfers, which answers didn't use: an older VM ignores it.

--- a/consensus.go
+++ b/consensus.go
@@ -70,6 +70,7 @@
 	Round              uint64 // the leader's heartbeat round to which this message or reply belongs
 	Reject             bool
 	LeadershipTransfer bool // vote: the election was started by a leadership transfer, so it is not rejected because that leader is alive
+	Stopping           bool // append reply: the sender's process is about to end, so it doesn't take over the leadership
 	Entries            []LogEntry
 	Snapshot           *LogSnapshot
 }
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -38,6 +38,7 @@
 	ErrChangePending = errors.New("a membership change is still pending")
 	ErrNoSuchMember  = errors.New("no such member")
 	ErrNotCaughtUp   = errors.New("the member lacks entries")
+	ErrStopping      = errors.New("the member's process is about to end")
 )
 
 type role uint8
@@ -174,7 +175,7 @@
 }
 
 // SetStopping tells the member that its process is about to end. It goes on voting, but starts elections later than the other members do, unless they
-// can't win without its log.
+// can't win without its log, and tells leaders, which then don't transfer the leadership to it.
 func (c *Core) SetStopping(now time.Duration) {
 	if c.stopping {
 		return
@@ -284,6 +285,7 @@
 func (c *Core) withHeader(m pj.PeerMessage) pj.PeerMessage {
 	m.Group = c.options.Group
 	m.From = c.options.ID
+	m.Stopping = c.stopping && m.Kind == pj.MessageAppendReply
 	if m.Term == 0 {
 		m.Term = c.term
 	}
--- a/internal/control/quorum/election.go
+++ b/internal/control/quorum/election.go
@@ -171,6 +171,9 @@
 	if !ok || !c.isVoter(to) {
 		return ErrNoSuchMember
 	}
+	if p.stopping {
+		return ErrStopping
+	}
 	if c.transferee != "" {
 		return ErrTransferring
 	}
--- a/internal/control/quorum/membership.go
+++ b/internal/control/quorum/membership.go
@@ -78,6 +78,12 @@
 	return ok && p.responded && p.match > 0 && p.match+maxCaughtUpLag >= c.log.lastIndex()
 }
 
+// CanTakeLead reports whether leadership may be transferred to the member: it has the log, has acknowledged a round that the leader sent at most age ago,
+// and isn't stopping.
+func (c *Core) CanTakeLead(now time.Duration, id string, age time.Duration) bool {
+	return id != c.options.ID && c.CaughtUp(id) && c.AckedWithin(now, id, age) && !c.peers[id].stopping
+}
+
 // AckedWithin reports whether the member has acknowledged a round that the leader sent at most age
 // ago. For this member itself the result is true.
 func (c *Core) AckedWithin(now time.Duration, id string, age time.Duration) bool {
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -23,6 +23,7 @@
 	ackedRound       uint64        // newest acknowledged round
 	ackedRoundSentAt time.Duration // when ackedRound was sent; until the first acknowledgement, when the member was added
 	responded        bool          // has answered an append or snapshot in this term
+	stopping         bool          // according to its last answer, its process is about to end
 	entriesSentAt    time.Duration // when entries were last sent
 	snapshotSentAt   time.Duration // when a snapshot was last sent; 0 if none is in flight
 
@@ -193,6 +194,7 @@
 		return
 	}
 	p.responded = true
+	p.stopping = m.Stopping
 	if sentAt, ok := c.roundSentAt[m.Round]; ok && m.Round > p.ackedRound {
 		p.ackedRound = m.Round
 		p.ackedRoundSentAt = sentAt
--- a/internal/control/quorum/rules_test.go
+++ b/internal/control/quorum/rules_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -392,3 +393,25 @@
 		})
 	}
 }
+
+// TestNoTransferToStoppingMember guards against the lead of a member that is stopping: nobody can call it any more, and it is killed while it leads.
+func TestNoTransferToStoppingMember(t *testing.T) {
+	is := is.New(t)
+	c, now, round := newLeader(t)
+	follower := newMember(other, now, self, other, third)
+	follower.SetStopping(now)
+	answer := func() pj.PeerMessage {
+		c.Tick(now)
+		follower.Step(now, lastAppendToOther(t, processReady(c, now).Immediate))
+		replies := processReady(follower, now).Messages
+		return replies[len(replies)-1]
+	}
+	is.True(c.CanTakeLead(now, other, timeout))
+	now += quorum.DefaultHeartbeat
+	reply := answer()
+	is.True(reply.Stopping)
+	reply.Index, reply.Reject, reply.Round = 2, false, round+1
+	c.Step(now, reply)
+	is.True(!c.CanTakeLead(now, other, timeout))
+	is.True(errors.Is(c.Transfer(now, other), quorum.ErrStopping))
+}
--- a/internal/server/cluster/membership.go
+++ b/internal/server/cluster/membership.go
@@ -198,7 +198,7 @@
 		if !ok || !peer.takesLead(now, r.vm.options.Rank) {
 			continue
 		}
-		if r.group.Core().CaughtUp(id) && r.group.Core().AckedWithin(now, id, maxMemberAckAge) {
+		if r.group.Core().CanTakeLead(now, id, maxMemberAckAge) {
 			r.vm.log("lead_handed_over", "to", id, "rank", peer.rank)
 			_ = r.group.Core().Transfer(now, id) // fails if a transfer is already in progress
 			return
@@ -219,8 +219,10 @@
 		return false
 	}
 	for _, id := range voters {
-		if id != r.host.ID() && !r.peers[control.VMOf(id)].stopping && r.group.Core().CaughtUp(id) && r.group.Core().AckedWithin(now, id, maxMemberAckAge) {
-			_ = r.group.Core().Transfer(now, id) // fails if a transfer is already in progress
+		if r.group.Core().CanTakeLead(now, id, maxMemberAckAge) {
+			if err := r.group.Core().Transfer(now, id); err == nil { // else a transfer is already in progress
+				r.vm.log("lead_handed_over", "to", id, "why", "this VM is stopping")
+			}
 			break
 		}
 	}
--- a/internal/server/node/groups.go
+++ b/internal/server/node/groups.go
@@ -141,7 +141,7 @@
 	best, bestRank := "", 0
 	for _, id := range g.Membership().Voters {
 		rank, ok := n.topology.MemberRank(name, replica.VMOf(id))
-		if !ok || id == n.host.ID() || !g.Core().AckedWithin(n.clock.Now(), id, maxMemberAckAge) || !g.Core().CaughtUp(id) {
+		if !ok || !g.Core().CanTakeLead(n.clock.Now(), id, maxMemberAckAge) {
 			continue
 		}
 		if best == "" || rank < bestRank {
--- a/internal/server/node/node.go
+++ b/internal/server/node/node.go
@@ -58,6 +58,7 @@
 	leaders        leaderclient.Client
 	syncNow        chan struct{}
 	drainLogged    sync.Once
+	stopping       bool // set by TransferLeaderships; only used on the control goroutine
 }
 
 // New starts the control plane of a VM and returns a function that stops it.
@@ -142,6 +143,9 @@
 		return
 	}
 	n.lastLeaseCheck = now
+	if n.stopping {
+		n.startTransfers() // an election may have made this VM a leader again
+	}
 	n.fleet.tick()
 	for _, c := range n.cells {
 		c.tick()
@@ -202,12 +206,13 @@
 }
 
 // TransferLeaderships transfers the leadership of every group that this VM leads to a member on another VM, and waits
-// until this is done or ctx ends. A group without a suitable member is left out.
+// until this is done or ctx ends. A group without a suitable member is left out. From then on, this VM is stopping: it gets no leadership from others,
+// and hands on what an election gives it.
 func (n *Node) TransferLeaderships(ctx context.Context) {
 	n.drainLogged.Do(func() { n.log("event", "drain_started") })
 	for ctx.Err() == nil {
 		remaining := 0
-		if err := n.loop.Do(ctx, func() { remaining = n.startTransfers() }); err != nil || remaining == 0 {
+		if err := n.loop.Do(ctx, func() { n.stopping, remaining = true, n.startTransfers() }); err != nil || remaining == 0 {
 			return
 		}
 		select {
@@ -223,7 +228,11 @@
 	started := 0
 	for _, name := range n.topology.Groups() {
 		g := n.host.Group(name)
-		if g == nil || !g.Leadership().IsLeader {
+		if g == nil {
+			continue
+		}
+		g.Core().SetStopping(n.clock.Now())
+		if !g.Leadership().IsLeader {
 			continue
 		}
 		if successor := n.successor(g, name); successor != "" {
--- a/internal/server/peer/codec.go
+++ b/internal/server/peer/codec.go
@@ -17,7 +17,7 @@
 	p := &peerpb.Message{
 		Kind: uint32(m.Kind), Group: m.Group, From: m.From, To: m.To, Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Round: m.Round,
-		Reject: m.Reject, Forced: m.LeadershipTransfer,
+		Reject: m.Reject, Forced: m.LeadershipTransfer || m.Stopping, // of different kinds of messages
 	}
 	for _, e := range m.Entries {
 		p.Entries = append(p.Entries, &peerpb.Entry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
@@ -43,8 +43,10 @@
 	m := pj.PeerMessage{
 		Kind: pj.PeerMessageKind(p.GetKind()), Group: p.GetGroup(), From: p.GetFrom(), To: p.GetTo(), Term: p.GetTerm(),
 		Index: p.GetIndex(), LogTerm: p.GetLogTerm(), Commit: p.GetCommit(), Round: p.GetRound(),
-		Reject: p.GetReject(), LeadershipTransfer: p.GetForced(),
+		Reject: p.GetReject(),
 	}
+	m.Stopping = p.GetForced() && m.Kind == pj.MessageAppendReply
+	m.LeadershipTransfer = p.GetForced() && m.Kind != pj.MessageAppendReply
 	for _, e := range p.GetEntries() {
 		m.Entries = append(m.Entries, pj.LogEntry{
 			Index: e.GetIndex(), Term: e.GetTerm(), Kind: pj.EntryKind(e.GetKind()), Data: e.GetData(),
