--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -28,7 +28,7 @@
 // margin allows for clocks that run at different rates.
 const leaseFraction = 0.85
 
-// stoppingRank is added to the rank of a member that is stopping; more than the ranks of the others differ by.
+// stoppingRank is added to the rank of a member that is stopping. One whose rank is as high competes with it, and then gets the lead from it.
 const stoppingRank = 2
 
 // Errors returned by Core.
--- a/internal/server/peer/codec.go
+++ b/internal/server/peer/codec.go
@@ -17,7 +17,7 @@
 	p := &peerpb.Message{
 		Kind: uint32(m.Kind), Group: m.Group, From: m.From, To: m.To, Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Round: m.Round,
-		Reject: m.Reject, Forced: m.LeadershipTransfer || m.Stopping, // of different kinds of messages
+		Reject: m.Reject, Forced: m.LeadershipTransfer || m.Stopping, // one for votes, the other for append replies
 	}
 	for _, e := range m.Entries {
 		p.Entries = append(p.Entries, &peerpb.Entry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
