--- a/internal/soak/answers.go
+++ b/internal/soak/opencallers.go
@@ -22,10 +22,11 @@
 	closeSlack        = 200 * time.Millisecond
 )
 
-// Answers is an HTTP transport that keeps its connections open, and counts the requests that were sent in full and whose connection ended without a
-// complete answer, later than closeSlack after that: the VM had time to read them. The zero value is ready for use.
-type Answers struct {
-	transport http.Transport
+// openTransport is an HTTP transport that keeps its connections open, and records the requests that were sent in full and whose connection ended without
+// a complete answer, later than the slack after that: the VM had time to read them. The zero value is ready for use.
+type openTransport struct {
+	connections http.Transport
+	slack       time.Duration
 
 	mu         sync.Mutex
 	requests   int
@@ -33,9 +34,9 @@
 }
 
 // RoundTrip implements http.RoundTripper.
-func (a *Answers) RoundTrip(r *http.Request) (*http.Response, error) {
-	x := exchange{answers: a, address: r.URL.Host}
-	response, err := a.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+func (t *openTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	x := exchange{transport: t, address: r.URL.Host}
+	response, err := t.connections.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GetConn:      func(string) { x.ended() }, // the transport tries again what may be repeated
 		WroteRequest: func(info httptrace.WroteRequestInfo) { x.written(info.Err == nil) },
 	})))
@@ -54,15 +55,22 @@
 	return response, nil
 }
 
-// Close closes the idle connections.
-func (a *Answers) Close() {
-	a.transport.CloseIdleConnections()
+// countRequest counts one request.
+func (t *openTransport) countRequest() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests++
+}
+
+// close closes the idle connections.
+func (t *openTransport) close() {
+	t.connections.CloseIdleConnections()
 }
 
 // exchange is one request and its attempts. Its methods are safe for concurrent use, as the transport calls them on goroutines of its own.
 type exchange struct {
-	answers *Answers
-	address string
+	transport *openTransport
+	address   string
 
 	mu     sync.Mutex
 	sentAt time.Time // of the current attempt; zero if it wasn't sent in full
@@ -83,26 +91,19 @@
 	sent := !x.sentAt.IsZero()
 	x.sentAt = time.Time{}
 	x.mu.Unlock()
-	if sent && held > closeSlack {
-		x.answers.mu.Lock()
-		defer x.answers.mu.Unlock()
-		x.answers.incomplete = append(x.answers.incomplete, fmt.Sprintf("%s held a request for %v and didn't answer it, at %s", x.address, held.Round(time.Millisecond), time.Now().UTC().Format(time.RFC3339Nano)))
+	if sent && held > x.transport.slack {
+		x.transport.mu.Lock()
+		defer x.transport.mu.Unlock()
+		x.transport.incomplete = append(x.transport.incomplete, fmt.Sprintf("%s held a request for %v and didn't answer it, at %s", x.address, held.Round(time.Millisecond), time.Now().UTC().Format(time.RFC3339Nano)))
 	}
 }
 
-// countRequest counts one request.
-func (a *Answers) countRequest() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.requests++
-}
-
 // callOpenly sends requests of one caller to one entry until ctx ends, whether that entry is stopping or not. The connection stays open for as long
 // as the entry lets it. Each second request is one that only the leader can answer.
-func (l *load) callOpenly(ctx context.Context, client Client, answers *Answers, entry, id string) {
+func (l *load) callOpenly(ctx context.Context, client Client, transport *openTransport, entry, id string) {
 	route, w := newWork(id)
 	for ; ctx.Err() == nil; waitFor(ctx, openCallerPause) {
-		answers.countRequest()
+		transport.countRequest()
 		err := client.Submit(ctx, entry, route, apiKey, w)
 		switch _, permanent := refused(err); {
 		case err == nil:
@@ -114,7 +115,7 @@
 		case permanent:
 			l.recordViolation("job %s was refused: %v", id, err)
 		}
-		answers.countRequest()
+		transport.countRequest()
 		if _, err := client.State(ctx, entry, route, apiKey, id); err != nil && pj.AsError(err).Code == pj.CodeUnknownJob && l.accepted(id) {
 			l.recordViolation("job %s was accepted and is no longer found", id)
 		}
@@ -130,22 +131,22 @@
 // startOpenCallers starts the callers that use open connections, and returns a function that waits for them after ctx has ended and records a violation
 // for each request without a complete answer.
 func (l *load) startOpenCallers(ctx context.Context, newClient func(http.RoundTripper, time.Duration) Client) (finish func(out io.Writer)) {
-	var answers Answers
-	client := newClient(&answers, openCallerTimeout)
-	answers.transport.MaxIdleConnsPerHost = openCallers
+	transport := openTransport{slack: closeSlack}
+	client := newClient(&transport, openCallerTimeout)
+	transport.connections.MaxIdleConnsPerHost = openCallers
 	entries := l.addresses(entryRole, frontPort)
 	var callers sync.WaitGroup
 	for i := range openCallers {
-		callers.Go(func() { l.callOpenly(ctx, client, &answers, entries[i%len(entries)], jobID(openCallerIDBase+i)) })
+		callers.Go(func() { l.callOpenly(ctx, client, &transport, entries[i%len(entries)], jobID(openCallerIDBase+i)) })
 	}
 	return func(out io.Writer) {
 		callers.Wait()
-		answers.Close()
-		answers.mu.Lock()
-		defer answers.mu.Unlock()
-		for _, held := range answers.incomplete {
+		transport.close()
+		transport.mu.Lock()
+		defer transport.mu.Unlock()
+		for _, held := range transport.incomplete {
 			l.recordViolation("%s", held)
 		}
-		_, _ = fmt.Fprintf(out, "open_connections requests=%d unanswered=%d\n", answers.requests, len(answers.incomplete))
+		_, _ = fmt.Fprintf(out, "open_connections requests=%d unanswered=%d\n", transport.requests, len(transport.incomplete))
 	}
 }
