--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/standin-3 ./review/standin-3
+go build -tags review -o target/standin-3 ./review/standin-3
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -30,13 +32,17 @@
 )
 
 // document returns a configuration of the cases' queues and tenants, with further queues that nobody calls.
-func document(version, idleRoutes int) ([]byte, error) {
+func document(version, idleRoutes int, advised bool) ([]byte, error) {
 	var routes, tenants []map[string]any
 	add := func(name, host, prefix string, priority, timeoutMS int) {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "type": "unsafe", "timeout_ms": timeoutMS, "target_latency_ms": 1200,
 			"priority": priority, "service": service, "max_attempts": 4, "stretch": 2.2, "public": false,
-		})
+		}
+		if advised {
+			route["advice"] = map[string]any{"decision_ms": decisionMS, "per_worker_ms": perWorkerMS, "validity_ms": validityMS}
+		}
+		routes = append(routes, route)
 	}
 	for _, n := range []tenant{tenantA, tenantB} {
 		add("r-"+n.name, host, n.prefix, n.priority, 3000)
@@ -60,7 +66,7 @@
 
 // configure publishes the configuration, and waits until the workers have announced themselves and an entry takes requests.
 func (t *trial) configure() error {
-	first, err := document(1, 0)
+	first, err := document(1, 0, t.fleet.advice != nil)
 	if err != nil {
 		return err
 	}
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -97,6 +99,7 @@
 	started time.Time
 	behave  behaviour
 	workers []*worker
+	advice  *adviceService // nil if the queues have no policy
 
 	mu    sync.Mutex
 	spans map[string][]*span // by task
@@ -143,6 +146,7 @@
 	Ack     int64           `json:"ack_seq"`
 	WaitMS  int64           `json:"wait_ms"`
 	Percent int             `json:"percent"`
+	Ticket  string          `json:"ticket"`
 	ctx     context.Context //nolint:containedctx // of the HTTP request
 }
 
@@ -226,6 +230,9 @@
 	if c.Run <= w.last[c.Task] || w.running[c.Task] != nil {
 		return refused("old")
 	}
+	if !w.fleet.advice.valid(c.Ticket, c.Task[:strings.LastIndex(c.Task, ".")], w.id) {
+		return refused("ticket")
+	}
 	length, how := w.fleet.behave(c.Task, c.Run)
 	a := &attempt{task: c.Task, run: c.Run, started: time.Now(), how: how, length: length}
 	if length > 0 {
