--- a/review/standin-3/cell.go
+++ b/review/standin-3/cell.go
@@ -52,8 +52,9 @@
 	vms     []*vm
 	record  *recorder
 	done    chan struct{}
-	advice  string // address of the service for advice, "" without one
-	limited bool   // the platform kills processes over their memory
+	running sync.WaitGroup // processes
+	advice  string         // address of the service for advice, "" without one
+	limited bool           // the platform kills processes over their memory
 }
 
 // newCell writes the settings and starts all processes.
@@ -75,13 +76,9 @@
 	if c.ports, err = freePorts(c.vms, "peer", "control", "front", "ready"); err != nil {
 		return nil, err
 	}
-	for _, v := range c.vms {
-		if err := c.writeSettings(v, true); err != nil {
-			return nil, err
-		}
-	}
 	for _, v := range c.vms {
 		if err := c.start(v); err != nil {
+			c.close()
 			return nil, err
 		}
 	}
@@ -156,12 +153,18 @@
 
 // start starts a process and, as the platform does, starts it again when it ends.
 func (c *cell) start(v *vm) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopped { // while it was about to be started again
+		return nil
+	}
 	out, err := os.OpenFile(filepath.Join(c.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	if err := c.writeSettings(v, v.starts == 0); err != nil {
+		return errors.Join(err, out.Close())
+	}
 	v.command = exec.Command(c.binary, "-settings", c.settingsPath(v)) //nolint:gosec,noctx // ended by pid
 	v.command.Stdout, v.command.Stderr = out, out
 	if err := v.command.Start(); err != nil {
@@ -169,8 +172,10 @@
 	}
 	v.starts++
 	command := v.command
+	c.running.Add(1)
 	go func() {
 		err := command.Wait()
+		c.running.Done()
 		_ = out.Close()
 		v.mu.Lock()
 		stopped := v.stopped
@@ -180,9 +185,6 @@
 		}
 		c.record.add("%s has ended: %v", v.name, err)
 		time.Sleep(restartDelay)
-		if err := c.writeSettings(v, false); err != nil {
-			c.record.add("%v", err)
-		}
 		if err := c.start(v); err != nil {
 			c.record.add("%v", err)
 		}
@@ -209,10 +211,8 @@
 		v.signal(syscall.SIGCONT)
 		v.signal(syscall.SIGKILL)
 	}
-	time.Sleep(restartDelay)
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.dir)
-	}
+	c.running.Wait()
+	_ = os.RemoveAll(c.dir) // a temporary folder
 }
 
 // watchMemory kills processes that use more memory than their machine has, as the platform does.
