Replica: large entries are compacted by their size

TestLargeEntriesAreCompacted fails without the change (the log has more than 32 MiB after 129 entries of 256 KiB) and passes with it; TestSnapshotsCostNoMoreThanLog holds as before.

--- a/internal/control/quorum/log.go
+++ b/internal/control/quorum/log.go
@@ -126,6 +126,18 @@
 	return l.entries[from-l.first : end-l.first : end-l.first]
 }
 
+// largestSuffix returns the index after which the entries up to the given one have at most maxBytes of data.
+func (l *raftLog) largestSuffix(index uint64, maxBytes int) uint64 {
+	size := 0
+	for index >= l.first {
+		if size += len(l.entries[index-l.first].Data); size > maxBytes {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // restore replaces the whole log with a snapshot.
 func (l *raftLog) restore(s pj.LogSnapshot) {
 	l.snapshot = s
--- a/internal/control/quorum/replication.go
+++ b/internal/control/quorum/replication.go
@@ -292,8 +292,11 @@
 	c.send(reply)
 }
 
+// maxRetainedBytes is the maximum size of the entries before a snapshot that are kept in memory.
+const maxRetainedBytes = 4 << 20
+
 // Compact stores a snapshot of the state at index and drops the log up to it, except for the last
-// retain entries.
+// retain entries, or fewer if they are large.
 func (c *Core) Compact(index uint64, data []byte, retain uint64) {
 	term, ok := c.log.term(index)
 	if !ok || index <= c.log.snapshot.Index || index > c.log.applied {
@@ -304,6 +307,7 @@
 	if index > retain {
 		compactThrough = index - retain
 	}
+	compactThrough = max(compactThrough, c.log.largestSuffix(index, maxRetainedBytes))
 	compactThrough = min(compactThrough, c.log.persisted, c.log.firstUnwritten-1)
 	c.log.compact(s, compactThrough)
 	c.pendingSnapshot = &snapshotWrite{snapshot: s, compactThrough: compactThrough}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -15,9 +15,13 @@
 
 // Limits of the log and of writes. A snapshot is made once the log has grown by the size of the last
 // snapshot, so that writing snapshots costs no more than writing the log, however large the state is.
+// The entries since then are held in memory and are applied again after a restart, so their number and
+// their size are limited.
 const (
-	minSnapshotEntries = 2000  // minimum number of entries applied between snapshots
-	maxSnapshotEntries = 10000 // maximum; the entries are held in memory and are applied again after a restart
+	minSnapshotEntries = 2000     // entries applied between snapshots, unless they are large
+	minSnapshotBytes   = 4 << 20  // size of fewer entries after which a snapshot may be made, too
+	maxSnapshotEntries = 10000    // entries after which a snapshot is made whatever its size
+	maxSnapshotBytes   = 16 << 20 // the same for the size of the entries
 	retainedEntries    = 500   // entries kept before a snapshot for members that are slightly behind
 	writeRetryDelay    = time.Second
 	writeStallTimeout  = 800 * time.Millisecond // a write that takes longer makes this VM's members passive until it ends
@@ -383,10 +387,18 @@
 	}
 }
 
+// snapshotDue reports whether the log has grown enough for a snapshot.
+func (g *Group) snapshotDue() bool {
+	entries, bytes := g.applied-g.snapshotIndex, g.bytesSinceSnapshot
+	if g.applied < g.nextSnapshot || (entries < minSnapshotEntries && bytes < minSnapshotBytes) {
+		return false
+	}
+	return entries >= maxSnapshotEntries || bytes >= maxSnapshotBytes || bytes >= g.snapshotBytes
+}
+
 // maybeSnapshot snapshots the state and compacts the log if the log has grown enough.
 func (g *Group) maybeSnapshot() {
-	entries := g.applied - g.snapshotIndex
-	if entries < minSnapshotEntries || g.applied < g.nextSnapshot || (entries < maxSnapshotEntries && g.bytesSinceSnapshot < g.snapshotBytes) {
+	if !g.snapshotDue() {
 		return
 	}
 	data, err := g.state.Snapshot()
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -341,6 +341,60 @@
 	is.True(state.snapshotBytes <= 2*commands*commandBytes)
 }
 
+// lastCommand is a replicated state that consists of the last command.
+type lastCommand struct{ data []byte }
+
+// Apply implements pj.StateMachine.
+func (l *lastCommand) Apply(_ uint64, data []byte) any {
+	l.data = data
+	return nil
+}
+
+// Snapshot implements pj.StateMachine.
+func (l *lastCommand) Snapshot() ([]byte, error) { return l.data, nil }
+
+// Restore implements pj.StateMachine.
+func (l *lastCommand) Restore(data []byte) error {
+	l.data = data
+	return nil
+}
+
+// TestLargeEntriesAreCompacted guards against a log that fills the memory of all VMs: 270 large configurations were kept, as snapshots were
+// made by the number of entries only, and no VM could read its log again.
+func TestLargeEntriesAreCompacted(t *testing.T) {
+	const entryBytes, maxLogBytes = 256 << 10, 32 << 20
+	tests := map[string]struct{ entries int }{
+		"a few":    {entries: 8},
+		"hundreds": {entries: 400},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := &manualClock{now: time.Minute}
+			disk := &memoryDisk{}
+			host := replica.New(replica.Options{VM: "a", Incarnation: "1", Saver: disk, Transport: newTestNetwork(), Clock: clock})
+			only := pj.RecoveredState{Snapshot: &pj.LogSnapshot{Index: 1, Term: 1, Membership: pj.Membership{Voters: []string{"a/1"}}}}
+			group := host.AddGroup("g", 0, &lastCommand{}, only, nil, nil)
+			for !group.Serving() {
+				clock.now += 100 * time.Millisecond
+				host.Tick()
+				host.Flush()
+			}
+			committed := 0
+			for range test.entries {
+				group.Commit(make([]byte, entryBytes), func(r pj.CommitResult) {
+					is.NoErr(r.Err)
+					committed++
+				})
+				host.Flush()
+				is.True(group.Core().LogLength()*entryBytes <= maxLogBytes)
+				is.True(len(disk.stored.Entries)*entryBytes <= maxLogBytes)
+			}
+			is.Equal(committed, test.entries)
+		})
+	}
+}
+
 // snapshotSizeCounter counts the bytes of its snapshots.
 type snapshotSizeCounter struct {
 	commandList
