Runs: a workflow's cost follows what is due or has run, and is bounded

Cause, by figures at 60 x 8,760 in a process of its own: the state of each occurrence was built at acceptance (78 MB of heap), and the leader built a task set with five maps for each one (425 MB with the state); a tick went through all of them (18 ms), an election built them anew (0.4 s), and a cancel went through all once for each occurrence of the cancelled job (7.3 s for one). Nothing bounded what accepted work takes. Change: an occurrence has state from its first run to its last end; what is closed is a bit. The leader keeps one entry a workflow in a heap by due time, and at most 16 occurrences of a step wait; the next ones follow as these start. Each workspace's work has an estimated footprint; a submission beyond the state budget is refused with 429 and a Retry-After before anything is proposed, and an occurrence beyond it isn't begun. A workspace may use twice what is free, so others always find room.

--- a/cmd/papayacell/main.go
+++ b/cmd/papayacell/main.go
@@ -82,7 +82,7 @@
 	vm, closeVM, err := cluster.New(cluster.Options{
 		Address: s.PeerAddress(), Zone: s.Zone, Region: s.Region, Rank: s.LeaderRank(), Replica: s.Role == settings.RoleReplica, DataDir: s.DataDir,
 		Bootstrap: s.Bootstrap, Seeds: func() []string { return current.Load().PeerSeeds() },
-		ControlPort: s.ControlPort(), Retention: s.Retention, MaxRulesDelay: s.MaxRulesDelay, MaxLease: s.MaxLease, WorkerClient: client, Advisor: client, Logger: logger, Metrics: set,
+		ControlPort: s.ControlPort(), StateBudget: s.StateBudget(), WorkspaceStateBudget: s.WorkspaceStateBudget(), Retention: s.Retention, MaxRulesDelay: s.MaxRulesDelay, MaxLease: s.MaxLease, WorkerClient: client, Advisor: client, Logger: logger, Metrics: set,
 	})
 	if err != nil {
 		return fmt.Errorf("start VM: %w", err)
--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -44,6 +44,8 @@
 	Retention     time.Duration // retention time of workflows in a final state; 0 for the daemon's default
 	MaxLease      time.Duration // longest time, on a worker's own clock, for which it holds a lease whatever end an order sets; 0 for the daemon's default
 	MemoryMB      int64         // memory of this VM in MiB; 0 if unknown
+	StateMB       int64         // estimated memory in MiB that accepted workflows may take on a replica; 0 for a fraction of MemoryMB
+	WorkspaceMB   int64         // of it, in MiB, for the workflows of one workspace; 0 for a multiple of what is free
 	InsecurePeers bool          // connections between VMs are not encrypted; for private networks only
 	Quiet         bool
 }
@@ -93,6 +95,8 @@
 	fs.DurationVar(&s.Retention, "keep", s.Retention, "retention time of workflows in a final state, 0 for 20m")
 	fs.DurationVar(&s.MaxLease, "max_worker_lease", s.MaxLease, "longest time for which a worker holds a lease, whatever end an order sets, 0 for 12s")
 	fs.Int64Var(&s.MemoryMB, "memory_mb", s.MemoryMB, "memory of this VM in MiB, 0 if unknown")
+	fs.Int64Var(&s.StateMB, "state_mb", s.StateMB, "replicas: estimated memory in MiB that accepted workflows may take, further submissions are refused; 0 for three tenths of memory_mb")
+	fs.Int64Var(&s.WorkspaceMB, "workspace_state_mb", s.WorkspaceMB, "replicas: of state_mb, what the workflows of one workspace may take; 0 for twice what is free")
 	fs.BoolVar(&s.InsecurePeers, "insecure_peers", s.InsecurePeers, "connections between VMs are not encrypted; for private networks only")
 	fs.BoolVar(&s.Quiet, "quiet", s.Quiet, "disable logging")
 	return fs
@@ -151,8 +155,8 @@
 	for _, seed := range s.Seeds {
 		checkAddress("seeds", seed)
 	}
-	if s.GracePeriod <= 0 || min(s.MemoryMB, int64(s.Retention), int64(s.MaxRulesDelay), int64(s.MaxLease)) < 0 {
-		reject("grace must be greater than 0; memory_mb, keep, rules_within and max_worker_lease must be at least 0")
+	if s.GracePeriod <= 0 || min(s.MemoryMB, s.StateMB, s.WorkspaceMB, int64(s.Retention), int64(s.MaxRulesDelay), int64(s.MaxLease)) < 0 {
+		reject("grace must be greater than 0; memory_mb, state_mb, workspace_state_mb, keep, rules_within and max_worker_lease must be at least 0")
 	}
 	return errors.Join(errs...)
 }
@@ -174,6 +178,24 @@
 	return 0
 }
 
+// stateMemoryFraction is the default of StateMB as a fraction of MemoryMB: the garbage collector, the log and messages need the rest.
+const stateMemoryFraction = 0.3
+
+const bytesPerMB = 1 << 20
+
+// StateBudget returns the estimated memory in bytes that accepted workflows may take, 0 for the daemon's default.
+func (s *Cluster) StateBudget() int64 {
+	if s.StateMB > 0 {
+		return s.StateMB * bytesPerMB
+	}
+	return int64(stateMemoryFraction * float64(s.MemoryMB*bytesPerMB))
+}
+
+// WorkspaceStateBudget returns the part of StateBudget in bytes that the workflows of one workspace may take, 0 if it has no maximum of its own.
+func (s *Cluster) WorkspaceStateBudget() int64 {
+	return s.WorkspaceMB * bytesPerMB
+}
+
 // PeerAddress returns the address at which the other VMs reach this one.
 func (s *Cluster) PeerAddress() string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	pj "papayajunction"
@@ -53,6 +55,9 @@
 	Lease     time.Duration // of a worker; the same on all VMs of a system; 0 for DefaultLease
 	MaxLease  time.Duration // longest time, on its own clock, for which a worker holds a lease whatever end an order sets; 0 for DefaultMaxLease
 	Retention time.Duration // how long the status of workflows in a final state stays available; 0 for DefaultRetention
+
+	StateBudget          int64 // estimated memory in bytes that workflows may take, see workflow.Footprint; 0 for DefaultStateBudget
+	WorkspaceStateBudget int64 // of it, in bytes, for the workflows of one workspace; 0 for no maximum of its own
 }
 
 // Durations and limits of worker leases and of workflow retention.
@@ -93,9 +98,12 @@
 	byWorkflow        map[string][]*taskSet
 	byWorkspace       map[string]map[*run]struct{} // runs that hold capacity
 	submissions       inflight.Submissions
-	unrecordedStarts  map[string]struct{} // workflows with a run that was observed on a worker, but without a committed end of a run
-	waiting           waitingSets         // task sets with pending tasks
-	delayed           []*taskSet          // task sets whose scheduled start time lies ahead
+	unrecordedStarts  map[string]struct{}  // workflows with a run that was observed on a worker, but without a committed end of a run
+	waiting           waitingSets          // task sets with pending tasks
+	delayed           []*taskSet           // task sets of occurrences that have run, and whose scheduled start time lies ahead again since the wall clock was set back
+	schedules         map[string]*schedule // by workflow, while not all its occurrences were enqueued
+	dueSchedules      scheduleHeap
+	proposed          workflow.Footprint // of the submissions that are being committed
 	advisors          map[string]*advisor
 	allowedShares     map[string]float64 // by queue: moving average of the fraction of workers that its policy allows
 	blocked           []Blocked          // see Load
@@ -137,6 +145,7 @@
 	options.Lease = cmp.Or(options.Lease, DefaultLease)
 	options.MaxLease = cmp.Or(options.MaxLease, DefaultMaxLease)
 	options.Retention = cmp.Or(options.Retention, DefaultRetention)
+	options.StateBudget = cmp.Or(options.StateBudget, DefaultStateBudget)
 	c := &Controller{
 		options:    options,
 		electedAt:  options.Clock.Now(),
@@ -153,6 +162,7 @@
 		byWorkspace:      make(map[string]map[*run]struct{}),
 		unrecordedStarts: make(map[string]struct{}),
 		advisors:         make(map[string]*advisor),
+		schedules:        make(map[string]*schedule),
 		allowedShares:    make(map[string]float64),
 	}
 	c.refreshRules()
@@ -169,13 +179,18 @@
 
 // adopt restores a recorded workflow, with the runs that may be on workers.
 func (c *Controller) adopt(r *workflow.Record) {
-	for k := range r.Occurrences {
-		for i := range r.Occurrences[k] {
+	for _, k := range slices.Sorted(maps.Keys(r.Open)) {
+		for i := range r.Workflow.Steps {
 			c.adoptStep(r, pj.StepID{Workflow: r.Workflow.ID, Occurrence: k, Step: i})
 		}
 	}
-	if r.State().Final() {
+	switch {
+	case r.State().Final():
 		c.stopWorkflow(r, "the workflow is "+string(r.State()))
+	case r.Workflow.ScheduledOccurrences > 0:
+		c.addSchedule(r)
+	case len(r.Open) == 0:
+		c.enqueueSubmitted(r)
 	}
 }
 
@@ -186,7 +201,8 @@
 			c.adoptRun(c.taskSet(r, id), index, t)
 		}
 	}
-	if !r.State().Final() && !step.Done() && r.Ready(id) {
+	scheduled := r.Workflow.ScheduledOccurrences > 0 && len(r.Workflow.Steps[id.Step].DependsOn) == 0 // addSchedule enqueues it
+	if !scheduled && !r.State().Final() && !step.Done() && r.Ready(id) {
 		c.enqueue(c.taskSet(r, id))
 	}
 }
@@ -238,6 +254,7 @@
 	c.expireAvoidance(now)
 	c.tickWorkers(now)
 	c.enqueueDelayed()
+	c.enqueueDue()
 	c.pruneWorkflows(now)
 	c.dirty = true
 }
@@ -247,6 +264,7 @@
 	if c.closed || c.deposed || !c.options.Group.Serving() {
 		return
 	}
+	c.enqueueDue()
 	if now := c.options.Clock.Now(); c.dirty && now >= c.nextPassAt {
 		c.dirty = false
 		c.schedule(now)
--- a/internal/control/runs/fake_test.go
+++ b/internal/control/runs/fake_test.go
@@ -177,12 +177,16 @@
 
 // elect starts the controller of a new term.
 func (x *cell) elect(term uint64) {
+	x.electWith(term, runs.Options{})
+}
+
+// electWith starts the controller of a new term with some options.
+func (x *cell) electWith(term uint64, options runs.Options) {
 	x.orders.sent = nil
-	x.c = runs.New(runs.Options{
-		Term: term, State: x.group.state, Group: x.group, Clock: x.clock,
-		UnixMilli: func() int64 { return testTime + x.clock.now.Milliseconds() },
-		Orders:    x.orders, Events: events{}, Retention: x.retention,
-	})
+	options.Term, options.State, options.Group, options.Clock = term, x.group.state, x.group, x.clock
+	options.UnixMilli = func() int64 { return testTime + x.clock.now.Milliseconds() }
+	options.Orders, options.Events, options.Retention = x.orders, events{}, x.retention
+	x.c = runs.New(options)
 }
 
 // advance advances the clock in steps of at most 50 ms, each with a Tick and a Flush.
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -299,7 +299,7 @@
 // finishWorkflow stops the remaining runs of a workflow in a final state. Once none is live, it records the end of the
 // workflow, unless that was already done.
 func (c *Controller) finishWorkflow(r *workflow.Record) {
-	tracked := len(c.byWorkflow[r.Workflow.ID]) > 0
+	tracked := len(c.byWorkflow[r.Workflow.ID]) > 0 || c.schedules[r.Workflow.ID] != nil
 	if r.State() == pj.WorkflowComplete {
 		c.dropTaskSets(r) // the remaining runs are gang members, which end together
 	} else {
@@ -327,8 +327,19 @@
 
 // dropTaskSets dequeues the task sets of a workflow, and drops those without runs.
 func (c *Controller) dropTaskSets(r *workflow.Record) {
-	for _, ts := range slices.Clone(c.byWorkflow[r.Workflow.ID]) {
+	c.dropSchedule(r.Workflow.ID)
+	sets := c.byWorkflow[r.Workflow.ID]
+	live := slices.DeleteFunc(sets, func(ts *taskSet) bool {
 		c.dequeue(ts)
-		c.dropTaskSet(ts)
+		if len(ts.live) > 0 {
+			return false
+		}
+		delete(c.taskSets, ts.id)
+		return true
+	})
+	if len(live) == 0 {
+		delete(c.byWorkflow, r.Workflow.ID)
+		return
 	}
+	c.byWorkflow[r.Workflow.ID] = live
 }
--- a/internal/control/runs/stray.go
+++ b/internal/control/runs/stray.go
@@ -102,7 +102,7 @@
 
 // mayHaveStray reports whether a worker that this leader hasn't heard yet may list a stray run of a task, which an earlier leader was stopping there.
 // A worker that stays silent delays the task no longer than one that falls silent under the same leader.
-func (c *Controller) mayHaveStray(now time.Duration, t *workflow.Task) bool {
+func (c *Controller) mayHaveStray(now time.Duration, t workflow.Task) bool {
 	w := c.workers[t.LostOn]
 	return w != nil && !w.polled && now < c.electedAt+unresponsiveAfter
 }
@@ -116,7 +116,7 @@
 	var held []int
 	ts.pending = slices.DeleteFunc(ts.pending, func(index int) bool {
 		_, stray := c.strays[pj.TaskID{StepID: ts.id, Index: index}]
-		stray = stray || c.mayHaveStray(now, &step.Tasks[index])
+		stray = stray || c.mayHaveStray(now, step.Task(index))
 		if stray {
 			held = append(held, index)
 		}
--- a/internal/control/runs/stray_test.go
+++ b/internal/control/runs/stray_test.go
@@ -169,7 +169,7 @@
 		x.c.Flush()
 		x.group.paused = len(x.group.queued) > 0
 	}
-	if len(x.group.queued) > 0 && len(x.group.state.Record("a").Occurrences[0][0].Tasks[0].Worker) > 0 { // that was the end of the run
+	if len(x.group.queued) > 0 && len(x.group.state.Record("a").Task(runID("a", 0, 0).Task).Worker) > 0 { // that was the end of the run
 		x.group.resume()
 		x.group.paused = true
 		x.c.Flush()
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -20,6 +20,7 @@
 	live        map[int]*run // by task index
 	onWorker    map[string]int
 	queued      bool
+	delayed     bool          // in Controller.delayed
 	selectedIn  uint64        // last pass that considered it
 	readySince  time.Duration // when its tasks could first start
 	objectiveAt time.Duration // when the workflow should be complete
@@ -59,7 +60,7 @@
 
 // dropTaskSet drops a task set that is neither queued nor has runs.
 func (c *Controller) dropTaskSet(ts *taskSet) {
-	if len(ts.live) > 0 || ts.queued {
+	if len(ts.live) > 0 || ts.queued || ts.delayed {
 		return
 	}
 	delete(c.taskSets, ts.id)
@@ -91,19 +92,21 @@
 	)
 }
 
-// enqueue adds a task set to those that wait, with all tasks that neither run nor are done. Before its scheduled start time,
-// the task set is delayed instead.
+// enqueue adds a task set to those that wait, with all tasks that neither run nor are done. If its scheduled start time lies ahead,
+// because the wall clock was set back, the task set is delayed instead.
 func (c *Controller) enqueue(ts *taskSet) {
-	if ts.queued {
+	if ts.queued || ts.delayed {
 		return
 	}
 	if startAt := ts.record.Workflow.EarliestStartMS(ts.id.Occurrence); startAt > c.options.UnixMilli() {
 		c.delayed = append(c.delayed, ts)
+		ts.delayed = true
 		return
 	}
 	ts.pending = ts.pending[:0]
-	for i, t := range ts.record.Step(ts.id).Tasks {
-		if !t.Done && ts.live[i] == nil {
+	step := ts.record.Step(ts.id)
+	for i := range step.Size() {
+		if !step.Task(i).Done && ts.live[i] == nil {
 			ts.pending = append(ts.pending, i)
 		}
 	}
@@ -112,6 +115,7 @@
 	}
 	c.waiting.add(ts)
 	ts.queued = true
+	c.waitingChanged(ts, 1)
 	c.dirty = true
 }
 
@@ -121,7 +125,7 @@
 	case ts.record.State().Final():
 		c.finishWorkflow(ts.record)
 		c.dropTaskSet(ts)
-	case ts.record.Step(ts.id).Tasks[index].Done:
+	case ts.record.Step(ts.id).Task(index).Done:
 	case ts.spec.Gang || !ts.queued:
 		c.enqueue(ts)
 	default:
@@ -131,12 +135,16 @@
 }
 
 func (c *Controller) dequeue(ts *taskSet) {
-	c.delayed = slices.DeleteFunc(c.delayed, func(o *taskSet) bool { return o == ts })
+	if ts.delayed {
+		ts.delayed = false
+		c.delayed = slices.DeleteFunc(c.delayed, func(o *taskSet) bool { return o == ts })
+	}
 	if !ts.queued {
 		return
 	}
 	ts.queued = false
 	c.waiting.remove(ts)
+	c.waitingChanged(ts, -1)
 }
 
 // enqueueDelayed enqueues the task sets whose scheduled start time has passed.
@@ -144,6 +152,7 @@
 	delayed := c.delayed
 	c.delayed = nil
 	for _, ts := range delayed {
+		ts.delayed = false
 		c.enqueue(ts) // delays it again if its start time lies ahead
 	}
 }
@@ -163,7 +172,9 @@
 	if !ts.spec.Gang {
 		return t.Checkpoint
 	}
-	for _, member := range ts.record.Step(ts.id).Tasks {
+	step := ts.record.Step(ts.id)
+	for i := range step.Size() {
+		member := step.Task(i)
 		if member.Checkpoint != "" {
 			return member.Checkpoint
 		}
@@ -175,11 +186,11 @@
 func (ts *taskSet) nextRun(index int) int {
 	step := ts.record.Step(ts.id)
 	if !ts.spec.Gang {
-		return step.Tasks[index].LastRun + 1
+		return step.Task(index).LastRun + 1
 	}
 	last := 0
-	for _, t := range step.Tasks {
-		last = max(last, t.LastRun)
+	for i := range step.Size() {
+		last = max(last, step.Task(i).LastRun)
 	}
 	return last + 1
 }
--- a/internal/control/runs/workflows.go
+++ b/internal/control/runs/workflows.go
@@ -16,9 +16,16 @@
 	if c.submissions.Await(w.ID, func() { c.Submit(w, done) }, done) {
 		return
 	}
+	if err := c.checkBudget(&w); err != nil {
+		done(err)
+		return
+	}
 	w.AcceptedAt = c.options.UnixMilli()
 	c.submissions.Begin(w.ID)
+	bytes := workflow.NewWorkflowFootprint(&w)
+	c.proposed.Add(w.Workspace, bytes)
 	c.commit(workflow.Command{Submit: &w}, func(r workflow.Result, err error) {
+		c.proposed.Add(w.Workspace, -bytes)
 		defer c.submissions.End(w.ID, err)
 		if err != nil {
 			done(err)
@@ -60,12 +67,15 @@
 	return err
 }
 
+// enqueueSubmitted enqueues the steps of a workflow that has not run, or schedules its occurrences.
 func (c *Controller) enqueueSubmitted(r *workflow.Record) {
-	for k := range r.Workflow.Occurrences() {
-		for i := range r.Workflow.Steps {
-			if id := (pj.StepID{Workflow: r.Workflow.ID, Occurrence: k, Step: i}); r.Ready(id) {
-				c.enqueue(c.taskSet(r, id))
-			}
+	if r.Workflow.ScheduledOccurrences > 0 {
+		c.addSchedule(r)
+		return
+	}
+	for i := range r.Workflow.Steps {
+		if id := (pj.StepID{Workflow: r.Workflow.ID, Step: i}); r.Ready(id) {
+			c.enqueue(c.taskSet(r, id))
 		}
 	}
 }
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -48,70 +48,69 @@
 	Checkpoint string        `json:"saved,omitempty"` // checkpoint to resume from
 }
 
-// Task is one task of a step. Worker is set while a run of the task may be on that worker.
-type Task struct {
-	LastRun    int    `json:"run,omitempty"` // highest run number assigned so far
-	Failures   int    `json:"failures,omitempty"`
-	Done       bool   `json:"done,omitempty"`
-	Checkpoint string `json:"saved,omitempty"` // checkpoint to resume from
-	Worker     string `json:"worker,omitempty"`
-	LostOn     string `json:"lost_on,omitempty"` // worker of the last run that counted as lost; that run may go on there
-}
+// Record is a workflow with the state of its tasks. An occurrence has state of its own only from its first run until its last run has ended,
+// so that the size of a record follows what has run and not how many occurrences are scheduled.
+type Record struct {
+	Workflow    pj.Workflow         `json:"workflow"`
+	Fingerprint string              `json:"fingerprint,omitempty"` // of the workflow as submitted; "" if an older version discarded the definition
+	Open        map[int]*Occurrence `json:"open,omitempty"`        // occurrences that have run and aren't closed
+	Closed      occurrenceSet       `json:"closed,omitempty"`      // occurrences whose steps and runs have ended
+	Cancelled   bool                `json:"cancelled,omitempty"`
+	Failed      string              `json:"failed,omitempty"`   // reason for the failure
+	Started     bool                `json:"started,omitempty"`  // set once a run that is known to have started on a worker has ended
+	FinalAt     int64               `json:"final_at,omitempty"` // Unix time in milliseconds
 
-// StepState is one step of one occurrence.
-type StepState struct {
-	Tasks         []Task `json:"tasks"`
-	Failures      int    `json:"failures,omitempty"`   // number of failed runs of a gang
-	FailedRun     int    `json:"failed_run,omitempty"` // number of the last failed run of a gang
-	finishedTasks int
-}
+	// Stored by older versions for all occurrences, by occurrence and step. Restore converts it.
+	LegacyOccurrences [][]StepState `json:"occurrences,omitempty"`
 
-// Done reports whether all tasks of the step have finished.
-func (s *StepState) Done() bool {
-	return s.finishedTasks == len(s.Tasks)
+	liveRuns   int
+	unfinished int // occurrences with steps that aren't done
+	footprint  int64
 }
 
-// Record is a workflow with the state of its tasks.
-type Record struct {
-	Workflow        pj.Workflow   `json:"workflow"`
-	Fingerprint     string        `json:"fingerprint,omitempty"` // of the workflow as submitted; "" if an older version discarded the definition
-	Occurrences     [][]StepState `json:"occurrences"`           // by occurrence and step
-	Cancelled       bool          `json:"cancelled,omitempty"`
-	Failed          string        `json:"failed,omitempty"`   // reason for the failure
-	Started         bool          `json:"started,omitempty"`  // set once a run that is known to have started on a worker has ended
-	FinalAt         int64         `json:"final_at,omitempty"` // Unix time in milliseconds
-	liveRuns        int
-	unfinishedSteps int
-}
-
-// Step returns the state of a step, or nil if there is no such step.
+// Step returns the state of a step, or nil if there is no such step. It must not be changed, and isn't updated if the step has not run yet.
 func (r *Record) Step(id pj.StepID) *StepState {
-	if id.Occurrence < 0 || id.Occurrence >= len(r.Occurrences) ||
-		id.Step < 0 || id.Step >= len(r.Occurrences[id.Occurrence]) {
+	if id.Step < 0 || id.Step >= len(r.Workflow.Steps) || id.Occurrence < 0 || id.Occurrence >= r.Workflow.Occurrences() {
 		return nil
 	}
-	return &r.Occurrences[id.Occurrence][id.Step]
+	if o := r.Open[id.Occurrence]; o != nil {
+		return &o.Steps[id.Step]
+	}
+	step := &StepState{size: r.Workflow.Steps[id.Step].Tasks}
+	if r.Closed.contains(id.Occurrence) {
+		step.finishedTasks = step.size
+	}
+	return step
 }
 
-// Task returns a task, or nil if there is no such task.
+// Task returns a copy of the state of a task, or nil if there is no such task.
 func (r *Record) Task(id pj.TaskID) *Task {
 	step := r.Step(id.StepID)
-	if step == nil || id.Index < 0 || id.Index >= len(step.Tasks) {
+	if step == nil || id.Index < 0 || id.Index >= step.size {
 		return nil
 	}
-	return &step.Tasks[id.Index]
+	t := step.Task(id.Index)
+	return &t
 }
 
 // Ready reports whether all steps that the step depends on have finished.
 func (r *Record) Ready(id pj.StepID) bool {
 	for _, d := range r.Workflow.Steps[id.Step].DependsOn {
-		if !r.Occurrences[id.Occurrence][d].Done() {
+		if !r.Step(pj.StepID{Workflow: id.Workflow, Occurrence: id.Occurrence, Step: d}).Done() {
 			return false
 		}
 	}
 	return true
 }
 
+// NextUnclosed returns the first occurrence from the given one that isn't closed, or the number of occurrences if there is none.
+func (r *Record) NextUnclosed(from int) int {
+	for from < r.Workflow.Occurrences() && r.Closed.contains(from) {
+		from++
+	}
+	return from
+}
+
 // LiveRuns returns the number of runs that may still be on workers.
 func (r *Record) LiveRuns() int {
 	return r.liveRuns
@@ -124,7 +123,7 @@
 		return pj.WorkflowCancelled
 	case r.Failed != "":
 		return pj.WorkflowFailed
-	case r.unfinishedSteps == 0:
+	case r.unfinished == 0:
 		return pj.WorkflowComplete
 	case r.Started || r.liveRuns > 0:
 		return pj.WorkflowRunning
@@ -140,25 +139,61 @@
 	return err
 }
 
-// recomputeCounters recomputes the counters, which are not part of a snapshot.
-func (r *Record) recomputeCounters() {
-	r.liveRuns, r.unfinishedSteps = 0, 0
-	for _, steps := range r.Occurrences {
-		for i := range steps {
-			steps[i].finishedTasks = 0
-			for _, t := range steps[i].Tasks {
-				if t.Done {
-					steps[i].finishedTasks++
-				}
-				if t.Worker != "" {
-					r.liveRuns++
-				}
-			}
-			if !steps[i].Done() {
-				r.unfinishedSteps++
+// open returns an occurrence, adding its state if it has not run yet.
+func (r *Record) open(k int) *Occurrence {
+	o := r.Open[k]
+	if o != nil {
+		return o
+	}
+	o = &Occurrence{Steps: make([]StepState, len(r.Workflow.Steps))}
+	o.recompute(&r.Workflow)
+	if r.Open == nil {
+		r.Open = make(map[int]*Occurrence)
+	}
+	r.Open[k] = o
+	return o
+}
+
+// close discards the state of an occurrence that is done and without live runs.
+func (r *Record) close(k int) {
+	if o := r.Open[k]; o != nil && o.unfinishedSteps == 0 && o.liveRuns == 0 {
+		delete(r.Open, k)
+		r.Closed.add(k)
+	}
+}
+
+// recompute computes what is not part of a snapshot.
+func (r *Record) recompute() {
+	r.convertLegacy()
+	r.liveRuns, r.unfinished = 0, r.Workflow.Occurrences()-r.Closed.size()
+	for _, o := range r.Open {
+		o.recompute(&r.Workflow)
+		r.liveRuns += o.liveRuns
+		if o.unfinishedSteps == 0 {
+			r.unfinished--
+		}
+	}
+	if len(r.Workflow.Steps) == 0 || (r.FinalAt != 0 && len(r.Open) == 0) { // finalise has discarded the state
+		r.unfinished = 0
+	}
+}
+
+// convertLegacy converts the state of the occurrences from the form in which older versions stored it.
+func (r *Record) convertLegacy() {
+	for k, steps := range r.LegacyOccurrences {
+		o := &Occurrence{Steps: steps}
+		o.recompute(&r.Workflow)
+		switch {
+		case o.unfinishedSteps == 0 && o.liveRuns == 0:
+			r.Closed.add(k)
+		case o.discardUntouched():
+			if r.Open == nil {
+				r.Open = make(map[int]*Occurrence)
 			}
+			r.Open[k] = o
 		}
 	}
+	r.LegacyOccurrences = nil
 }
 
 // State is the replicated state.
@@ -170,6 +205,7 @@
 	unsettled map[string]int64 // incarnation, by worker; see Unsettled
 	removedAt map[string]int64 // Unix time in milliseconds, by removed worker
 	waiting   map[string]int   // number of waiting workflows (see isWaiting), by queue
+	footprint Footprint
 }
 
 // NewState returns an empty state.
@@ -286,6 +322,7 @@
 	s.applyRuns(&c, &result)
 	for _, id := range c.Delete {
 		if r := s.records[id]; r != nil && r.State().Final() && r.liveRuns == 0 {
+			s.footprint.Add(r.Workflow.Workspace, -r.footprint)
 			delete(s.records, id)
 		}
 	}
@@ -366,18 +403,13 @@
 		result.Err = pj.Refuse(pj.CodeInternal, "submission can't be stored: %v", err)
 		return
 	}
-	r := &Record{Workflow: w, Fingerprint: fingerprint, Occurrences: make([][]StepState, w.Occurrences())}
-	for k := range r.Occurrences {
-		r.Occurrences[k] = make([]StepState, len(w.Steps))
-		for i, step := range w.Steps {
-			r.Occurrences[k][i].Tasks = make([]Task, step.Tasks)
-		}
-	}
-	r.recomputeCounters()
+	r := &Record{Workflow: w, Fingerprint: fingerprint}
+	r.recompute()
 	s.records[w.ID] = r
 	if s.isWaiting(r) {
 		s.waiting[w.Queue]++
 	}
+	s.measure(r)
 	result.Record, result.New = r, true
 }
 
@@ -417,9 +449,10 @@
 	if r.liveRuns == 0 {
 		r.Workflow.Spec = ""
 		r.Workflow.Steps = slices.Clone(r.Workflow.Steps[:0])
-		r.Occurrences = nil
-		r.unfinishedSteps = 0
+		r.Open, r.Closed = nil, nil
+		r.unfinished = 0
 	}
+	s.measure(r)
 }
 
 // startRun records a run. It refuses a run if the workflow has ended, if the task has finished or a run of it may
@@ -433,9 +466,13 @@
 	if t == nil || t.Done || t.Worker != "" || st.Run <= t.LastRun || !r.Ready(st.Task.StepID) {
 		return false
 	}
-	t.LastRun = st.Run
-	t.Worker = st.Worker
+	o := r.open(st.Task.Occurrence)
+	started := o.Steps[st.Task.Step].edit(st.Task.Index)
+	started.LastRun = st.Run
+	started.Worker = st.Worker
+	o.liveRuns++
 	r.liveRuns++
+	s.measure(r)
 	return true
 }
 
@@ -444,15 +481,19 @@
 	if r == nil {
 		return
 	}
-	t := r.Task(e.Task)
-	if t == nil || t.Worker == "" || t.LastRun != e.Run {
+	if t := r.Task(e.Task); t == nil || t.Worker == "" || t.LastRun != e.Run {
 		return
 	}
+	o := r.Open[e.Task.Occurrence]
+	t := o.Steps[e.Task.Step].edit(e.Task.Index)
 	worker := t.Worker
 	t.Worker = ""
+	o.liveRuns--
 	r.liveRuns--
-	s.update(r, func() { s.applyOutcome(r, t, worker, e) })
+	s.update(r, func() { s.applyOutcome(r, o, t, worker, e) })
+	r.close(e.Task.Occurrence)
 	s.finalise(r, at)
+	s.measure(r)
 }
 
 // finishLate marks a task as finished by a run of which another end was recorded before.
@@ -461,53 +502,60 @@
 	if r == nil || r.State().Final() {
 		return
 	}
-	t := r.Task(id.Task)
-	if t == nil || t.Done || id.Run > t.LastRun || r.Workflow.Steps[id.Task.Step].LongRunning {
-		return
+	if t := r.Task(id.Task); t == nil || t.Done || id.Run > t.LastRun || r.Workflow.Steps[id.Task.Step].LongRunning {
+		return // a task with a run number has an open occurrence
 	}
+	o := r.open(id.Task.Occurrence)
 	s.update(r, func() {
 		r.Started = true
-		s.finishTask(r, r.Step(id.Task.StepID), &r.Workflow.Steps[id.Task.Step], t)
+		s.finishTask(r, o, id.Task)
 	})
+	r.close(id.Task.Occurrence)
 	s.finalise(r, at)
+	s.measure(r)
 }
 
 // applyOutcome updates the record, the step and the task with the outcome of a run on a worker.
-func (s *State) applyOutcome(r *Record, t *Task, worker string, e RunEnd) {
+func (s *State) applyOutcome(r *Record, o *Occurrence, t *Task, worker string, e RunEnd) {
 	if e.Outcome != pj.EndWorkerLost && e.Outcome != pj.EndNotStarted {
 		r.Started = true
 	}
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
-	step := r.Step(e.Task.StepID)
+	step := &o.Steps[e.Task.Step]
 	spec := &r.Workflow.Steps[e.Task.Step]
 	switch {
 	case e.Outcome == pj.EndWorkerLost:
 		t.LostOn = worker
 	case e.Outcome == pj.EndDone && !spec.LongRunning:
-		s.finishTask(r, step, spec, t)
+		s.finishTask(r, o, e.Task)
 	case e.Outcome == pj.EndFailed && !spec.LongRunning && !t.Done:
 		s.recordFailure(r, step, spec, t, e)
 	}
 }
 
 // finishTask marks a task as finished. The first member of a gang to finish marks all members as finished.
-func (s *State) finishTask(r *Record, step *StepState, spec *pj.Step, t *Task) {
+func (s *State) finishTask(r *Record, o *Occurrence, id pj.TaskID) {
+	step := &o.Steps[id.Step]
 	if step.Done() {
 		return
 	}
-	if spec.Gang {
-		for i := range step.Tasks {
-			step.Tasks[i].Done = true
+	if r.Workflow.Steps[id.Step].Gang {
+		for i := range step.size {
+			step.edit(i).Done = true
 		}
-		step.finishedTasks = len(step.Tasks)
-	} else if !t.Done {
+		step.finishedTasks = step.size
+	} else if t := step.edit(id.Index); !t.Done {
 		t.Done = true
 		step.finishedTasks++
 	}
-	if step.Done() {
-		r.unfinishedSteps--
+	if !step.Done() {
+		return
+	}
+	o.unfinishedSteps--
+	if o.unfinishedSteps == 0 {
+		r.unfinished--
 	}
 }
 
@@ -568,7 +616,8 @@
 		if err := r.addFingerprint(); err != nil {
 			return fmt.Errorf("read workflow snapshot: %w", err)
 		}
-		r.recomputeCounters()
+		r.recompute()
+		s.measure(r)
 		s.records[r.Workflow.ID] = r
 		if s.isWaiting(r) {
 			s.waiting[r.Workflow.Queue]++
--- a/internal/control/workflow/state_test.go
+++ b/internal/control/workflow/state_test.go
@@ -14,9 +14,10 @@
 
 // fixture applies JSON-encoded commands to a state with consecutive log indexes.
 type fixture struct {
-	is    *is.I
-	state *workflow.State
-	index uint64
+	is         *is.I
+	state      *workflow.State
+	index      uint64
+	occurrence int // of the runs that are started and ended
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -35,18 +36,24 @@
 
 // start reports whether the run was accepted.
 func (f *fixture) start(step, index, run int) bool {
-	r := f.apply(workflow.Command{Start: []workflow.RunStart{{RunID: id(step, index, run), Worker: "w"}}})
+	r := f.apply(workflow.Command{Start: []workflow.RunStart{{RunID: f.id(step, index, run), Worker: "w"}}})
 	return r.Accepted[0]
 }
 
 func (f *fixture) end(step, index, run int, outcome pj.RunOutcome, checkpoint string) {
-	f.apply(workflow.Command{End: []workflow.RunEnd{{RunID: id(step, index, run), Outcome: outcome, Checkpoint: checkpoint}}, At: 7})
+	f.apply(workflow.Command{End: []workflow.RunEnd{{RunID: f.id(step, index, run), Outcome: outcome, Checkpoint: checkpoint}}, At: 7})
 }
 
 func (f *fixture) lateDone(run pj.RunID) {
 	f.apply(workflow.Command{LateDone: []pj.RunID{run}, At: 7})
 }
 
+func (f *fixture) id(step, index, run int) pj.RunID {
+	r := id(step, index, run)
+	r.Task.Occurrence = f.occurrence
+	return r
+}
+
 func id(step, index, run int) pj.RunID {
 	return pj.RunID{Task: pj.TaskID{StepID: pj.StepID{Workflow: "a", Step: step}, Index: index}, Run: run}
 }
@@ -198,6 +205,48 @@
 	f.is.Equal(restored.Record("a").LiveRuns(), f.state.Record("a").LiveRuns())
 }
 
+// checkLegacySnapshot checks that a snapshot of an older version, which has the state of each task of each occurrence, restores the same state.
+func (f *fixture) checkLegacySnapshot() {
+	data, err := f.state.Snapshot()
+	f.is.NoErr(err)
+	var snapshot map[string]any
+	f.is.NoErr(json.Unmarshal(data, &snapshot))
+	r := f.state.Record("a")
+	record := snapshot["records"].([]any)[0].(map[string]any)
+	delete(record, "open")
+	delete(record, "closed")
+	record["occurrences"] = legacyOccurrences(r)
+	legacy, err := json.Marshal(snapshot)
+	f.is.NoErr(err)
+	restored := workflow.NewState()
+	f.is.NoErr(restored.Restore(legacy))
+	again, err := restored.Snapshot()
+	f.is.NoErr(err)
+	f.is.Equal(string(again), string(data))
+	f.is.Equal(restored.Record("a").State(), r.State())
+	f.is.Equal(restored.Record("a").LiveRuns(), r.LiveRuns())
+	f.is.Equal(restored.Footprint().Total(), f.state.Footprint().Total())
+}
+
+// legacyOccurrences returns the state of all tasks as older versions stored it, by occurrence and step.
+func legacyOccurrences(r *workflow.Record) [][]workflow.StepState {
+	if len(r.Workflow.Steps) == 0 {
+		return nil
+	}
+	occurrences := make([][]workflow.StepState, r.Workflow.Occurrences())
+	for k := range occurrences {
+		for i := range r.Workflow.Steps {
+			step := r.Step(pj.StepID{Workflow: "a", Occurrence: k, Step: i})
+			stored := workflow.StepState{Failures: step.Failures, FailedRun: step.FailedRun}
+			for index := range step.Size() {
+				stored.Tasks = append(stored.Tasks, step.Task(index))
+			}
+			occurrences[k] = append(occurrences[k], stored)
+		}
+	}
+	return occurrences
+}
+
 // TestOutdatedCommands checks that configurations, announcements and removals that arrive late, twice or out of order are ignored.
 func TestOutdatedCommands(t *testing.T) {
 	f := newFixture(t)
@@ -275,22 +324,25 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fixture{is: is.NewRelaxed(t), state: workflow.NewState()}
 		w := steps(pj.Step{Tasks: 2}, pj.Step{Tasks: 2, Gang: true, DependsOn: []int{0}})
+		w.ScheduledOccurrences = rapid.SampledFrom([]int{0, 1, 3}).Draw(t, "occurrences")
 		f.apply(workflow.Command{Submit: &w})
 		outcomes := []pj.RunOutcome{pj.EndDone, pj.EndFailed, pj.EndStopped, pj.EndWorkerLost, pj.EndGangMemberEnded, pj.EndNotStarted}
 		for range rapid.IntRange(1, 40).Draw(t, "commands") {
 			step, index, run := rapid.IntRange(0, 1).Draw(t, "step"), rapid.IntRange(0, 1).Draw(t, "index"), rapid.IntRange(1, 6).Draw(t, "run")
+			f.occurrence = rapid.IntRange(0, w.Occurrences()-1).Draw(t, "occurrence")
 			r := f.state.Record("a")
 			if rapid.Bool().Draw(t, "start") {
-				task := r.Task(id(step, index, run).Task)
+				task := r.Task(f.id(step, index, run).Task)
 				idle := task == nil || task.Worker == ""
-				ready := r.State().Final() || r.Ready(id(step, index, run).Task.StepID)
+				ready := r.State().Final() || r.Ready(f.id(step, index, run).Task.StepID)
 				if f.start(step, index, run) && (!idle || !ready) {
-					t.Fatalf("run %v was accepted, idle %v, ready %v", id(step, index, run), idle, ready)
+					t.Fatalf("run %v was accepted, idle %v, ready %v", f.id(step, index, run), idle, ready)
 				}
 				continue
 			}
 			f.end(step, index, run, rapid.SampledFrom(outcomes).Draw(t, "outcome"), "")
 		}
 		f.checkSnapshotRoundTrip()
+		f.checkLegacySnapshot()
 	})
 }
--- a/internal/server/cluster/cluster.go
+++ b/internal/server/cluster/cluster.go
@@ -52,7 +52,11 @@
 	MaxRulesDelay time.Duration
 	Retention     time.Duration // how long callers may ask for the status of workflows in a final state; 0 for the controller's default
 	// Longest time, on a worker's own clock, for which it holds a lease whatever end an order sets; 0 for the controller's default.
-	MaxLease     time.Duration
+	MaxLease time.Duration
+
+	// Estimated memory in bytes that accepted workflows may take, on the whole and those of one workspace; 0 for the controller's defaults.
+	StateBudget, WorkspaceStateBudget int64
+
 	WorkerClient pj.WorkerClient
 	Advisor      pj.Advisor
 	Logger       Logger
--- a/internal/server/cluster/load.go
+++ b/internal/server/cluster/load.go
@@ -84,6 +84,9 @@
 	set.GetOrCreateGauge("papaya_log_uncommitted_entries", nil).Set(float64(core.Uncommitted()))
 	set.GetOrCreateCounter("papaya_disk_payload_bytes_total").AddInt64(writeStats.PayloadBytes - m.lastWriteStats.PayloadBytes)
 	set.GetOrCreateCounter("papaya_disk_page_bytes_total").AddInt64(writeStats.PageBytes - m.lastWriteStats.PageBytes)
+	stateBytes := m.replica.state.Footprint().Total()
+	set.GetOrCreateGauge("papaya_state_estimated_bytes", nil).Set(float64(stateBytes))
+	keyvals = append(keyvals, "state_bytes", stateBytes)
 	if m.replica.controller != nil {
 		l := m.replica.controller.Load()
 		keyvals = append(keyvals, "leads", true, "waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "oldest", l.OldestWait, "asking", l.AwaitingAdvice,
--- a/internal/server/cluster/replica.go
+++ b/internal/server/cluster/replica.go
@@ -199,6 +199,7 @@
 		UnixMilli: func() int64 { return time.Now().UnixMilli() },
 		Orders:    &orderSender{replica: r, relays: r.relays},
 		Events:    newEvents(r.vm), Retention: r.vm.options.Retention, MaxLease: r.vm.options.MaxLease,
+		StateBudget: r.vm.options.StateBudget, WorkspaceStateBudget: r.vm.options.WorkspaceStateBudget,
 	})
 	r.controller.SetAdvisors(r.liveAdvisors(r.vm.clock.Now()))
 	r.vm.leaderClient.SetLeader(Group, r.vm.options.Address)
