Soak: a workspace submits work of unlike shapes up to the state budget

Now a workspace of its own submits schedules of a year (ahead, and all of it due), labels, maxima on a worker, 4,000 tasks, chains of steps and specs that JSON escapes until it is refused, and goes on; every fourth ruleset has 1,500 routes more; what is left is cancelled by eight callers at once. Checked: starts before their time, on workers without the label, out of order; refused work that runs; final states; and that no VM takes more than 280 MB (metrics, five times a second).

--- a/cmd/papayasoak/main.go
+++ b/cmd/papayasoak/main.go
@@ -41,6 +41,7 @@
 	leaves := flags.Bool("leaves", true, "workers also drain, leave and come back under their ids")
 	lateStarts := flags.Bool("late_starts", false, "starts that are carried out late may reach a later incarnation of a worker")
 	rolls := flags.Bool("rolls", false, "rolling restarts of the leader and the entries, in place of the other faults of VMs")
+	varied := flags.Bool("varied", true, "a workspace submits work of unlike shapes, more than the state budget allows")
 	outlive := flags.Bool("outlive", true, "connections and calls to workers may outlive restarts of workers")
 	completionTimeout := flags.Duration("patience", 0, "maximum wait for accepted jobs to end after the run; 0 for no limit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("PAPAYASOAK")); err != nil {
@@ -63,7 +64,7 @@
 	}
 	client, closeClient := platform.NewAPIClient(callTimeout)
 	defer closeClient()
-	options := soak.Options{Seed: *seed, Size: size, Duration: *duration, CompletionTimeout: *completionTimeout, Client: client, NewWorker: platform.NewWorkerHandler, WorkerRestarts: *restarts, WorkerLeaves: *leaves, OutlivingCalls: *outlive, LateStarts: *lateStarts, Rolls: *rolls, NewClient: newClient}
+	options := soak.Options{Seed: *seed, Size: size, Duration: *duration, CompletionTimeout: *completionTimeout, Client: client, NewWorker: platform.NewWorkerHandler, WorkerRestarts: *restarts, WorkerLeaves: *leaves, OutlivingCalls: *outlive, LateStarts: *lateStarts, Rolls: *rolls, Varied: *varied, NewClient: newClient}
 	violations, err := soak.Run(context.Background(), options, instructions, out)
 	for _, v := range violations {
 		_, _ = fmt.Fprintln(out, "BROKEN", v)
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -22,7 +22,7 @@
 	minSnapshotBytes   = 4 << 20  // size of fewer entries after which a snapshot may be made, too
 	maxSnapshotEntries = 10000    // entries after which a snapshot is made whatever its size
 	maxSnapshotBytes   = 16 << 20 // the same for the size of the entries
-	retainedEntries    = 500   // entries kept before a snapshot for members that are slightly behind
+	retainedEntries    = 500      // entries kept before a snapshot for members that are slightly behind
 	writeRetryDelay    = time.Second
 	writeStallTimeout  = 800 * time.Millisecond // a write that takes longer makes this VM's members passive until it ends
 )
--- a/internal/soak/cell.go
+++ b/internal/soak/cell.go
@@ -106,7 +106,7 @@
 		data, err := json.MarshalIndent(map[string]any{
 			"vm": v.name, "role": v.role, "zone": zone(i), "region": region(i, rolls), "zones": zones(rolls), "ip": v.ip, "peer_port": proxyPort,
 			"listen_peer": v.address(peerPort), "listen_control": v.address(controlPort), "listen_front": v.address(frontPort), "listen_ready": v.address(readyPort),
-			"seeds": seeds, "bootstrap": true, "data_dir": filepath.Join(dir, v.name), "grace": grace(rolls).String(), "rules_within": rulesWithin.String(),
+			"seeds": seeds, "bootstrap": true, "data_dir": filepath.Join(dir, v.name), "grace": grace(rolls).String(), "memory_mb": vmMemoryMB, "metrics_port": metricsPort, "rules_within": rulesWithin.String(),
 		}, "", "  ")
 		if err != nil {
 			return nil, fmt.Errorf("write settings of %s: %w", v.name, err)
@@ -143,9 +143,13 @@
 func (s Size) workers() []pj.PolledWorker {
 	var list []pj.PolledWorker
 	for i := range s.Workers {
+		labels := []string{"a", "r1"}
+		if i%2 == 0 {
+			labels = append(labels, variedLabel)
+		}
 		list = append(list, pj.PolledWorker{
 			ID: fmt.Sprintf("worker-%d", i+1), Incarnation: time.Now().UnixMilli(), Address: net.JoinHostPort(workerIP, strconv.Itoa(workerPort+i)),
-			Pool: pool, Zone: zone(i), Rack: "r1", Labels: []string{"a", "r1"}, Capacity: pj.NewResources(workerCores, workerMemoryGB, 0, 0),
+			Pool: pool, Zone: zone(i), Rack: "r1", Labels: labels, Capacity: pj.NewResources(workerCores, workerMemoryGB, 0, 0),
 		})
 	}
 	return list
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -31,6 +31,7 @@
 	rejected  bool // every response reported that the job was not run and will not run
 	cancelled bool // or may be: the cancel call was accepted or its outcome is unknown
 	state     pj.WorkflowState
+	key       string // of its workspace
 }
 
 // load submits jobs, publishes rulesets and sends heartbeats, and checks the responses against what was acknowledged before.
@@ -50,6 +51,9 @@
 	violations   []string
 	submitters   sync.WaitGroup // calls that submit jobs and have not returned
 
+	varied        varied
+	largeRulesets bool
+
 	leaving        leaving
 	leaveCalls     [leaveFates]int // by what happened to them
 	leavesAnswered int
@@ -63,7 +67,8 @@
 func newLoad(seed uint64, size Size, client Client, fleet *polledworker.Fleet) *load {
 	return &load{
 		seed: seed, size: size, client: client, fleet: fleet, rand: rand.New(rand.NewPCG(seed, 2)), callerRand: rand.New(rand.NewPCG(seed, addressStream)), //nolint:gosec // not for secrets
-		jobs: make(map[string]*job), started: make(map[string]bool), publications: publications{acknowledgedAt: make(map[int64]time.Time)},
+		varied: newVaried(size.workers()),
+		jobs:   make(map[string]*job), started: make(map[string]bool), publications: publications{acknowledgedAt: make(map[int64]time.Time)},
 	}
 }
 
@@ -98,11 +103,18 @@
 	}
 	c.load.mu.Lock()
 	c.load.started[r.Run.Task.Workflow] = true
+	submitted, isVaried := c.load.varied.jobs[r.Run.Task.Workflow]
 	c.load.mu.Unlock()
-	_, submitted := newWork(r.Run.Task.Workflow)
+	if !isVaried {
+		_, submitted = newWork(r.Run.Task.Workflow)
+	}
 	if step := r.Run.Task.Step; step >= len(submitted.Steps) || r.Run.Task.Index >= submitted.Steps[step].Tasks || r.Spec != submitted.Spec {
 		c.load.recordViolation("task %s with the spec %q was started, which is none of the job that was accepted", r.Run.Task, r.Spec)
 	}
+	if isVaried {
+		c.load.checkVariedStart(w, submitted, r.Run.Task)
+		return clock, nil
+	}
 	if r.Run.Task.Step > 0 {
 		for i := range firstStepTasks {
 			dependency := pj.TaskID{StepID: pj.StepID{Workflow: r.Run.Task.Workflow}, Index: i}
@@ -155,14 +167,23 @@
 
 // newRuleset returns a version of the ruleset. Versions differ in the timeout of the route for jobs, and each has a route and a
 // key of its own.
-func newRuleset(version int64) *pj.Ruleset {
+func newRuleset(version int64, large bool) *pj.Ruleset {
 	route, _ := newWork("")
 	route.TimeoutMS += version
+	routes := []pj.Route{*route, versionRoute(version)}
+	if large && version%largeRulesetIn == 0 {
+		for i := range largeRulesRoutes {
+			r := *route
+			r.Name, r.PathPrefix = fmt.Sprintf("large-%d-%d", version, i), fmt.Sprintf("/large/%d/%d/", version, i)
+			routes = append(routes, r)
+		}
+	}
 	return &pj.Ruleset{
-		Version: version, Routes: []pj.Route{*route, versionRoute(version)}, Pools: []string{pool},
+		Version: version, Routes: routes, Pools: []string{pool},
 		Workspaces: []pj.KeyedWorkspace{
 			{Workspace: pj.Workspace{Name: "team", Share: 1, Limit: pj.NewResources(1000, 10000, 0, 0)}, Keys: []string{apiKey, versionKey(version)}},
 			{Workspace: pj.Workspace{Name: blockedWorkspace, Share: 1, Limit: pj.NewResources(blockedCores, 10000, 0, 0)}, Keys: []string{blockedKey}},
+			{Workspace: pj.Workspace{Name: variedWorkspace, Share: 1, Limit: pj.NewResources(1000, 10000, 0, 0)}, Keys: []string{variedKey}},
 		},
 	}
 }
@@ -183,7 +204,7 @@
 // true: the rules always permit the job, and no other one has its id.
 func (l *load) submitUntilAccepted(ctx context.Context, id string, c *caller) (entry string, accepted bool) {
 	route, w := newWork(id)
-	j := &job{rejected: true}
+	j := &job{rejected: true, key: apiKey}
 	l.mu.Lock()
 	l.jobs[id] = j
 	l.mu.Unlock()
@@ -211,8 +232,16 @@
 
 // cancel cancels an accepted job.
 func (l *load) cancel(ctx context.Context, id string) {
+	_ = l.cancelJob(ctx, id)
+}
+
+// cancelJob is cancel, and reports whether the job is cancelled for certain.
+func (l *load) cancelJob(ctx context.Context, id string) bool {
 	route, _ := newWork(id)
-	err := l.client.Cancel(ctx, l.randomAddress(entryRole, frontPort), route, apiKey, id)
+	l.mu.Lock()
+	key := l.jobs[id].key
+	l.mu.Unlock()
+	err := l.client.Cancel(ctx, l.randomAddress(entryRole, frontPort), route, key, id)
 	unknown := err != nil && pj.AsError(err).Code == pj.CodeUnknownJob
 	l.mu.Lock()
 	l.jobs[id].cancelled = !unknown // after an error the job may have been cancelled
@@ -220,6 +249,7 @@
 	if unknown {
 		l.recordViolation("job %s was accepted, and cancelling it found no such job", id)
 	}
+	return err == nil || unknown
 }
 
 // submitJobs submits jobs at a constant rate until ctx ends, and checks the state of a random earlier one after each.
@@ -257,7 +287,7 @@
 		return ""
 	}
 	route, _ := newWork(id)
-	state, err := l.client.State(ctx, l.randomAddress(entryRole, frontPort), route, apiKey, id)
+	state, err := l.client.State(ctx, l.randomAddress(entryRole, frontPort), route, j.key, id)
 	if err != nil {
 		if accepted && pj.AsError(err).Code == pj.CodeUnknownJob {
 			l.recordViolation("job %s was accepted and is no longer found", id)
@@ -281,7 +311,7 @@
 		pause := min(minPublishInterval+time.Duration(l.rand.ExpFloat64()*float64(meanPublishInterval)), maxPublishInterval)
 		l.mu.Unlock()
 		for ctx.Err() == nil {
-			if err := l.client.Publish(ctx, l.randomAddress(replicaRole, controlPort), newRuleset(version)); err == nil {
+			if err := l.client.Publish(ctx, l.randomAddress(replicaRole, controlPort), newRuleset(version, l.largeRulesets)); err == nil {
 				l.mu.Lock()
 				l.published = version
 				l.publications.acknowledgedAt[version] = time.Now()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,7 @@
 	LateStarts        bool // late starts may be carried out by a later incarnation than they were sent to
 	// Rolling restarts of the leader and the entries take the place of the faults of VMs, beside callers that use open connections.
 	Rolls     bool
+	Varied    bool                                          // a workspace submits work of unlike shapes, more than the state budget allows; one version of the ruleset in some is large
 	NewClient func(http.RoundTripper, time.Duration) Client // returns a client that uses a transport, with a timeout for each call
 }
 
@@ -40,6 +41,7 @@
 	workers := o.Size.workers()
 	fleet := polledworker.New(workers, taskRunTime)
 	l := newLoad(o.Seed, o.Size, o.Client, fleet)
+	l.largeRulesets = o.Varied
 	fleet.LimitLeases(runs.DefaultLease)
 	if o.OutlivingCalls || o.WorkerLeaves {
 		fleet.VaryRunTimes(variedRunTime)
@@ -85,6 +87,10 @@
 		l.submitJobs(loadCtx)
 	}()
 
+	l.watchMemory(ctx)
+	if o.Varied {
+		l.submitVaried(loadCtx)
+	}
 	finishOpenCallers := func(io.Writer) {}
 	if o.Rolls {
 		finishOpenCallers = l.startOpenCallers(loadCtx, o.NewClient)
@@ -104,8 +110,12 @@
 	faults.Wait()
 	<-submitting
 	finishOpenCallers(out)
+	l.cancelVaried(ctx)
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
 	l.checkUse()
+	l.mu.Lock()
+	_, _ = fmt.Fprintf(out, "varied accepted=%d refused=%d peak_mb=%.0f\n", l.varied.accepted, l.varied.refused, l.varied.peak/(1<<20))
+	l.mu.Unlock()
 	if late != nil {
 		misread := fleet.Misread()
 		held, refused := late.counts()
