Runs: a long task among short ones gets to its first percent

Cause: before its first percent, a run's time was a multiple of the mean of its queue; the caller's estimate counted only while no task of the queue had ended, and each further run got no more time than the first. Related: a run that a new leader adopted counted as without progress since the process started, so it could be stopped with the first answer.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -216,7 +216,7 @@
 	}
 	v := &run{
 		id:      pj.RunID{Task: pj.TaskID{StepID: ts.id, Index: index}, Run: t.LastRun},
-		taskSet: ts, worker: w, phase: phaseCommitted, resolvedAt: c.electedAt, startedAt: c.electedAt,
+		taskSet: ts, worker: w, phase: phaseCommitted, resolvedAt: c.electedAt, startedAt: c.electedAt, progressedAt: c.electedAt,
 	}
 	c.occupy(v)
 }
--- a/internal/control/runs/failure_test.go
+++ b/internal/control/runs/failure_test.go
@@ -23,6 +23,7 @@
 	started map[string][]time.Duration // by workflow
 
 	stopping map[pj.RunID]struct{}
+	progress func(run pj.RunID, ran time.Duration) int // percent of a run; nil for one that grows with time
 }
 
 func newSimulation(x *cell) *simulation {
@@ -69,7 +70,11 @@
 			failed := s.fails != nil && s.fails(worker, workflow)
 			_, stopping := s.stopping[run]
 			if !failed && !stopping && (runTime == 0 || s.clock.now < since+runTime) {
-				response.Running = append(response.Running, pj.RunStatus{Run: run, Progress: int(s.clock.now / (200 * time.Millisecond))})
+				percent := int(s.clock.now / (200 * time.Millisecond))
+				if s.progress != nil {
+					percent = s.progress(run, s.clock.now-since)
+				}
+				response.Running = append(response.Running, pj.RunStatus{Run: run, Progress: percent})
 				continue
 			}
 			delete(running, run)
--- a/internal/control/runs/placement_test.go
+++ b/internal/control/runs/placement_test.go
@@ -161,6 +161,53 @@
 	}
 }
 
+// TestLongTaskAmongShortOnes guards against a task of ten minutes that never ended: in a queue of tasks of a second, each of its runs was stopped
+// before its first percent, and its worker, the only one that could run it, was left out for three seconds each time.
+func TestLongTaskAmongShortOnes(t *testing.T) {
+	const (
+		percent  = 6 * time.Second // of the long task
+		maxStops = 3               // until a run is given the time of a percent
+		maxPause = 3 * time.Second // without a run
+	)
+	tests := map[string]struct {
+		step  pj.Step
+		elect bool // a new leader finds the run before its first percent
+		stops int
+	}{
+		"an exact estimate":   {step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), EstimateMS: 600_000}},
+		"a new leader":        {step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), EstimateMS: 600_000}, elect: true},
+		"no estimate":         {step: oneTask(), stops: maxStops},
+		"a far too short one": {step: pj.Step{Tasks: 1, Task: pj.NewResources(4, 8, 0, 0), EstimateMS: 1000}, stops: maxStops},
+		"a gang":              {step: pj.Step{Tasks: 2, Task: pj.NewResources(4, 8, 0, 0), Gang: true}, stops: maxStops},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(newCell(t, 1))
+			s.runTime["short"] = time.Second
+			s.submit("short", oneTask())
+			s.run(30 * time.Second)
+			s.progress = func(_ pj.RunID, ran time.Duration) int { return int(ran / percent) }
+			s.submit("long", test.step)
+			s.run(time.Second)
+			if test.elect {
+				s.elect(2)
+			}
+			pause := time.Duration(0)
+			for range 800 {
+				s.run(50 * time.Millisecond)
+				pause += 50 * time.Millisecond
+				if s.runsOf("long") > 0 {
+					pause = 0
+				}
+				s.is.True(pause < maxPause)
+			}
+			starts := len(s.started["long"]) / test.step.Tasks
+			s.is.True(starts <= 1+test.stops)
+			s.is.True(s.clock.now-s.started["long"][len(s.started["long"])-1] > 2*percent)
+		})
+	}
+}
+
 // TestProbeAfterQuarantine: a worker that failed all its tasks receives one task as a probe after its quarantine, however many are pending.
 func TestProbeAfterQuarantine(t *testing.T) {
 	x := newCell(t, 1)
--- a/internal/control/runs/taskset.go
+++ b/internal/control/runs/taskset.go
@@ -27,6 +27,7 @@
 	deadline    time.Duration // when the result of the workflow is of no use any more
 	remaining   time.Duration // estimated time of this step and of those that depend on it
 	runTime     time.Duration // expected run time of a task, as of the current pass
+	stalls      map[int]int   // number of stalled runs, by task index
 
 	limitHold  hold // of the rest of its workspace's upper limit
 	workerHold hold // of free workers
