Quarantine: a job that fails elsewhere, too, says nothing about a worker

Cause: three different jobs failing on a worker quarantine it, also jobs that fail on every worker; a quarantine removed the worker from its jobs' records, so the next workers were judged as if nothing had failed before; a probe that such a job failed doubled the quarantine. Change: a failure counts against a worker unless its job has failed on another one within a minute, and not succeeded since. So the first worker on which such jobs meet may be quarantined, the others aren't. What that costs with faulty workers: a job's second failure, on another faulty worker, doesn't count there. TestFailingServicesLeaveWorkers (12 and 2 workers) and 'jobs that fail everywhere' of TestBarsEnd fail before and pass after.

--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -1,5 +1,5 @@
 // Package quarantine attributes task failures: to a job if it fails on several workers, or to a worker,
-// which is then quarantined, if several jobs fail on it.
+// which is then quarantined, if several jobs fail on it that haven't failed elsewhere of late.
 package quarantine
 
 import (
@@ -14,6 +14,7 @@
 	jobFailureThreshold    = 3                // different workers on which a job fails before the failure is attributed to the job
 	defaultMinQuarantine   = 30 * time.Second // the length doubles with each further quarantine
 	defaultMaxQuarantine   = 30 * time.Minute
+	failureMemory          = time.Minute     // how long a job's failure on a worker speaks for its failures elsewhere
 	maxProbe               = 6 * time.Second // a probe that has run for so long without failing has shown that the worker works
 )
 
@@ -58,8 +59,9 @@
 }
 
 type jobRecord struct {
-	failedWorkers  map[string]struct{} // without those quarantined since
-	avoidedWorkers map[string]struct{} // those of failedWorkers that must not be used yet
+	failedAt       map[string]time.Duration // time of the last failure by worker, since the job's last success
+	failedWorkers  map[string]struct{}      // without those quarantined since
+	avoidedWorkers map[string]struct{}      // those of failedWorkers that must not be used yet
 }
 
 // New returns a tracker without failures.
@@ -91,12 +93,18 @@
 
 // RecordFailureAvoiding is like RecordFailure with another time for which the job avoids the worker.
 func (t *Tracker) RecordFailureAvoiding(now time.Duration, job, worker string, avoidFor time.Duration) (jobAtFault, quarantined bool) {
-	w := t.worker(worker)
-	if len(w.failedJobs) == 0 {
-		w.firstFailureAt = now
+	w, j := t.worker(worker), t.job(job)
+	failedElsewhere := j.failedElsewhere(now, worker)
+	j.failedAt[worker] = now
+	if failedElsewhere {
+		w.probeRunning = false // the probe says nothing about the worker
+	} else {
+		if len(w.failedJobs) == 0 {
+			w.firstFailureAt = now
+		}
+		w.failedJobs[job] = struct{}{}
 	}
-	w.failedJobs[job] = struct{}{}
-	if (len(w.failedJobs) >= workerFailureThreshold || w.probing) && now >= w.quarantinedUntil {
+	if !failedElsewhere && (len(w.failedJobs) >= workerFailureThreshold || w.probing) && now >= w.quarantinedUntil {
 		shortest, longest := cmp.Or(t.minQuarantine, defaultMinQuarantine), cmp.Or(t.maxQuarantine, defaultMaxQuarantine)
 		w.quarantineLength = min(max(2*w.quarantineLength, shortest), longest)
 		w.quarantinedUntil = now + w.quarantineLength
@@ -104,7 +112,6 @@
 		t.clearJobFailures(worker)
 		return false, true
 	}
-	j := t.job(job)
 	j.failedWorkers[worker] = struct{}{}
 	j.avoidedWorkers[worker] = struct{}{}
 	if w.avoidedBy == nil {
@@ -120,12 +127,22 @@
 		if t.jobs == nil {
 			t.jobs = make(map[string]*jobRecord)
 		}
-		j = &jobRecord{failedWorkers: make(map[string]struct{}), avoidedWorkers: make(map[string]struct{})}
+		j = &jobRecord{failedAt: make(map[string]time.Duration), failedWorkers: make(map[string]struct{}), avoidedWorkers: make(map[string]struct{})}
 		t.jobs[id] = j
 	}
 	return j
 }
 
+// failedElsewhere reports whether the job has failed on another worker within failureMemory, and has not succeeded since.
+func (j *jobRecord) failedElsewhere(now time.Duration, worker string) bool {
+	for other, at := range j.failedAt {
+		if other != worker && now < at+failureMemory {
+			return true
+		}
+	}
+	return false
+}
+
 // clearJobFailures removes a quarantined worker from the records of the jobs that failed on it, as
 // those failures are attributed to the worker.
 func (t *Tracker) clearJobFailures(worker string) {
--- a/internal/control/quarantine/quarantine_test.go
+++ b/internal/control/quarantine/quarantine_test.go
@@ -62,6 +62,42 @@
 			atFault, _ := tracker.RecordFailure(time.Minute, "a", "w3")
 			is.True(atFault)
 		},
+		"jobs that fail everywhere": func(is *is.I) {
+			tracker := quarantine.New(quarantine.WithQuarantine(4*time.Second, time.Minute))
+			jobs, workers := []string{"a", "b", "c", "d"}, []string{"w1", "w2", "w3", "w4"}
+			barred := 0
+			for round := range 100 {
+				now := time.Duration(round) * time.Second
+				for _, worker := range workers {
+					if tracker.Quarantined(now, worker) {
+						barred++
+						continue
+					}
+					for _, job := range jobs {
+						tracker.RecordStart(worker)
+						tracker.RecordFailureAvoiding(now, job, worker, quarantine.AvoidUnlimitedAttempts)
+					}
+				}
+			}
+			is.True(barred <= 4) // only the first worker, once
+		},
+		"a worker that fails jobs which run elsewhere": func(is *is.I) {
+			tracker := quarantine.New()
+			for i, job := range []string{"a", "b", "c"} {
+				tracker.RecordFailure(0, job, "sound") // once, and then it succeeds there
+				tracker.RecordSuccess(time.Second, job, "sound")
+				_, barred := tracker.RecordFailure(2*time.Second, job, "faulty")
+				is.Equal(barred, i == 2)
+			}
+		},
+		"a failure elsewhere long ago": func(is *is.I) {
+			tracker := quarantine.New()
+			for i, job := range []string{"a", "b", "c"} {
+				tracker.RecordFailure(0, job, job)
+				_, barred := tracker.RecordFailure(2*time.Minute, job, "faulty")
+				is.Equal(barred, i == 2)
+			}
+		},
 		"the lengths of quarantines": func(is *is.I) {
 			tracker := quarantined(is)
 			now := 4 * time.Second
--- a/internal/control/runs/failure_test.go
+++ b/internal/control/runs/failure_test.go
@@ -110,6 +110,43 @@
 	return pj.Step{Tasks: tasks, Task: pj.NewResources(4, 8, 0, 0), LongRunning: true, MaxTasksPerWorker: 1}
 }
 
+// TestFailingServicesLeaveWorkers guards against services that put all workers in quarantine for up to a minute, also for others: their tasks
+// failed soon after each start, whichever worker they ran on.
+func TestFailingServicesLeaveWorkers(t *testing.T) {
+	tests := map[string]struct{ workers int }{
+		"many workers": {workers: 12},
+		"two workers":  {workers: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(newCell(t, test.workers))
+			step := pj.Step{Tasks: 2, Task: pj.NewResources(0.5, 1, 0, 0), LongRunning: true}
+			steadyFails, down := false, true
+			s.fails = func(_, workflow string) bool {
+				if workflow == "steady" {
+					return steadyFails
+				}
+				return down
+			}
+			services := []string{"a", "b", "c", "d"}
+			for _, id := range append(services, "steady") {
+				s.submitWorkflow(pj.Workflow{ID: id, Queue: "q", Workspace: "team", Pool: "pool", Steps: []pj.Step{step}, MaxAttempts: 2})
+			}
+			s.run(40 * time.Second)
+			steadyFails = true
+			s.run(50 * time.Millisecond)
+			steadyFails = false
+			s.run(longRunningWithin)
+			s.is.Equal(s.runsOf("steady"), step.Tasks)
+			down = false
+			s.run(longRunningWithin)
+			for _, id := range services {
+				s.is.Equal(s.runsOf(id), step.Tasks)
+			}
+		})
+	}
+}
+
 // TestFailedWorkerIsUsedAgain guards against accepted work that never runs: a job avoided the workers on which it had
 // failed for good, and a worker whose probe didn't end was never used again, so that nobody was left who could run it.
 func TestFailedWorkerIsUsedAgain(t *testing.T) {
