Runs: a long-running task is listed before its worker can be lost for long

Cause: a run that its worker hasn't listed may have been started by a later incarnation, with the longest lease, and counts as lost only after that; the leader looked when the long poll in flight returned, up to 1.5 s after the start. Change: once a start of a long-running task is answered, the worker is polled at once, again after each answer that lacks it. TestLastingTaskAfterLossOfItsWorker fails before, passes after. Cost: a look or two for each start of a long-running task; none for others.

--- a/internal/control/runs/loss_test.go
+++ b/internal/control/runs/loss_test.go
@@ -1,6 +1,7 @@
 package runs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -94,6 +95,64 @@
 	x.is.Equal(len(x.orders.take("stop")), 2)
 }
 
+// TestLastingTaskAfterLossOfItsWorker guards against a long-running task that waits 11 s after the loss of the worker on which it had just started:
+// until the worker lists a run, the run may be on a later incarnation and hold the longest lease.
+func TestLastingTaskAfterLossOfItsWorker(t *testing.T) {
+	const (
+		roundTrip  = 10 * time.Millisecond
+		lossAfter  = 100 * time.Millisecond
+		restartGap = 9 * time.Second // without a run, for a long-running task
+	)
+	step := pj.Step{Tasks: 3, Task: pj.NewResources(1, 1, 0, 0), LongRunning: true}
+	for name, span := range map[string]time.Duration{"starts answered at once": 0, "starts answered one after the other": 2 * roundTrip} {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t, 2)
+			x.advance(500 * time.Millisecond) // the polls in flight are held by the workers
+			held := x.orders.take("poll")
+			x.is.Equal(len(held), 2)
+			x.submit("a", step)
+			x.advance(100 * time.Millisecond)
+			starts := x.orders.take("start")
+			x.is.Equal(len(starts), step.Tasks)
+			lost := starts[0].worker
+			var running []pj.RunStatus
+			answerPolls := func() {
+				polls := x.orders.take("poll")
+				listed := slices.Clone(running)
+				x.clock.now += roundTrip
+				for _, o := range polls {
+					response := pj.PollResponse{Incarnation: testIncarnation, ClockMS: x.clock.now.Milliseconds() + 1}
+					if o.worker == lost {
+						response.Running = listed
+					}
+					o.answerPoll(response, nil)
+				}
+				x.flush()
+			}
+			for _, s := range starts {
+				x.is.Equal(s.worker, lost)
+				running = append(running, pj.RunStatus{Run: s.run, Progress: 100})
+				s.answer(nil)
+				x.advance(span)
+				answerPolls()
+			}
+			for range int(lossAfter / roundTrip) {
+				answerPolls()
+			}
+			lostAt := x.clock.now
+			x.orders.sent = append(x.orders.sent, held...)
+			var again []*order
+			for len(again) < step.Tasks && x.clock.now < lostAt+2*restartGap {
+				x.advance(50 * time.Millisecond)
+				x.answerPollsOf(map[string]string{"w0": "w1", "w1": "w0"}[lost])
+				again = append(again, x.orders.take("start")...)
+			}
+			x.is.Equal(len(again), step.Tasks)
+			x.is.True(x.clock.now <= lostAt+restartGap)
+		})
+	}
+}
+
 // TestPollSentBeforeUnansweredStart: a poll that was sent before the start order was given up may have been answered before the
 // order arrived, so it doesn't show that the worker lacks the run.
 func TestPollSentBeforeUnansweredStart(t *testing.T) {
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -125,6 +125,10 @@
 	now := c.options.Clock.Now()
 	if err == nil {
 		c.resolveStart(v, true)
+		if v.taskSet.spec.LongRunning {
+			v.worker.nextPollAtOnce = 0
+			c.pollAtOnce(v.worker)
+		}
 		return
 	}
 	var refused *pj.RefusedError
--- a/internal/control/runs/worker.go
+++ b/internal/control/runs/worker.go
@@ -382,6 +382,17 @@
 	return false
 }
 
+// hasUnlistedStart reports whether a long-running task was started that the worker hasn't listed. If the worker falls silent before, the task
+// counts as lost only after the longest lease, see mayRunElsewhere.
+func (w *worker) hasUnlistedStart() bool {
+	for _, v := range w.runs {
+		if v.taskSet.spec.LongRunning && v.fence != 0 && v.resolvedAt != 0 && !v.confirmed && !v.ending {
+			return true
+		}
+	}
+	return false
+}
+
 // handlePollResponse handles the answer to a poll that was sent at the given time.
 func (c *Controller) handlePollResponse(w *worker, sent time.Duration, fence uint64, response pj.PollResponse) {
 	now := c.options.Clock.Now()
@@ -411,6 +422,10 @@
 	if _, uncommitted := c.batch.acks[w]; !uncommitted {
 		c.poll(w)
 	}
+	if w.hasUnlistedStart() {
+		w.nextPollAtOnce = 0 // what this answer doesn't show was started after the poll was sent
+		c.pollAtOnce(w)
+	}
 	c.dirty = true
 }
 
@@ -558,7 +573,7 @@
 		c.updateUsable(now, w)
 		c.settle(now, w)
 		c.poll(w)
-		if w.hasOpenStart() {
+		if w.hasOpenStart() || w.hasUnlistedStart() {
 			c.pollAtOnce(w)
 		}
 		if now > w.polledAt+unresponsiveAfter && c.leaseExpired(now, w) {
