--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -110,7 +110,7 @@
 	faults.Wait()
 	<-submitting
 	finishOpenCallers(out)
-	l.cancelVaried(ctx)
+	l.cancelVaried(ctx, o.CompletionTimeout)
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
 	l.checkUse()
 	l.mu.Lock()
--- a/internal/soak/varied.go
+++ b/internal/soak/varied.go
@@ -142,9 +142,14 @@
 	}
 }
 
-// cancelVaried cancels the accepted jobs that don't end otherwise, many at a time.
-func (l *load) cancelVaried(ctx context.Context) {
+// cancelVaried cancels the accepted jobs that don't end otherwise, many at a time. With a timeout of 0 it tries without limit.
+func (l *load) cancelVaried(ctx context.Context, timeout time.Duration) {
 	l.submitters.Wait()
+	if timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		ctx = limited
+	}
 	l.mu.Lock()
 	lasting := slices.Clone(l.varied.lasting)
 	l.mu.Unlock()
