Runs: starts that are open and runs that go on are bounded

Cause: nothing bounds how many tasks start in one moment, each with a message and a command of its own, nor how many run; each poll lists them all. Change: at most 1,000 starts are open; all runs may take as much memory as the state budget, by an estimate of 4 KiB a run, and one workspace at most twice what is free of that. A gang counts as one.

--- a/internal/control/runs/controller.go
+++ b/internal/control/runs/controller.go
@@ -109,6 +109,9 @@
 	blocked           []Blocked          // see Load
 	blockedReportedAt time.Duration
 
+	openStarts int // see startRoom
+	liveRuns   int // runs that hold capacity
+
 	batch batch
 	dirty bool // something changed since the last scheduling pass
 
--- a/internal/control/runs/gang.go
+++ b/internal/control/runs/gang.go
@@ -26,7 +26,7 @@
 	}
 	chosen := p.claimGang(ts, n)
 	expired := p.withoutValidTicket(ts, chosen)
-	if withinLimit && len(chosen) == n && len(expired) == 0 {
+	if withinLimit && len(chosen) == n && len(expired) == 0 && p.c.mayStartGang(ts.record.Workflow.Workspace, n) {
 		p.releaseClaims(ts, chosen)
 		p.startGang(ts, chosen)
 		return
--- a/internal/control/runs/run.go
+++ b/internal/control/runs/run.go
@@ -36,6 +36,7 @@
 	fence        uint64        // fencing token of the start order; 0 for adopted runs and before it is sent
 	confirmed    bool          // the current incarnation of the worker has listed it to this leader
 	unansweredAt time.Duration // since when it is known that the start order got no answer; 0 if it got one or may still get it
+	open         bool          // its start counts in Controller.openStarts
 	ending       bool          // its end is being committed
 	stopReason   string        // why the run is to be stopped; empty if it isn't
 	stopSentAt   time.Duration
@@ -48,6 +49,7 @@
 // occupy charges a run to its worker, its workspace and its task set.
 func (c *Controller) occupy(v *run) {
 	ts := v.taskSet
+	c.liveRuns++
 	v.worker.runs[v.id] = v
 	v.worker.free = v.worker.free.Sub(ts.amount)
 	ts.live[v.id.Task.Index] = v
@@ -59,6 +61,8 @@
 
 func (c *Controller) release(v *run) {
 	ts := v.taskSet
+	c.liveRuns--
+	c.startClosed(v)
 	delete(v.worker.runs, v.id)
 	v.worker.free = v.worker.free.Add(ts.amount)
 	delete(ts.live, v.id.Task.Index)
@@ -89,6 +93,7 @@
 	}
 	v.phase = phaseCommitted
 	if v.stopReason != "" || v.taskSet.record.State().Final() || v.incarnation != v.worker.Incarnation || len(c.strays[v.id.Task]) > 0 {
+		c.startClosed(v)
 		c.end(v, pj.EndNotStarted, "")
 		return
 	}
@@ -99,6 +104,7 @@
 	now := c.options.Clock.Now()
 	w := v.worker
 	if c.deposed || !c.options.Group.Serving() {
+		c.startClosed(v)
 		c.resolveStart(v, false) // nothing was sent, so a later poll that doesn't list the run proves that the worker doesn't have it
 		c.options.Events.Record("start_not_sent", "workflow", v.id.Task.Workflow, "task", v.id.Task, "run", v.id.Run, "worker", w.ID, "deposed", c.deposed)
 		return
@@ -114,6 +120,7 @@
 		"worker", w.ID, "waited", now-v.taskSet.readySince, "until_ms", order.LeaseUntilMS, "resumed", order.Checkpoint != "")
 	c.options.Events.TaskStarted(&v.taskSet.record.Workflow, now-v.taskSet.readySince)
 	c.options.Orders.Start(w.PolledWorker, order, func(clockMS int64, err error) {
+		c.startClosed(v)
 		if c.closed || w.runs[v.id] != v {
 			return
 		}
--- a/internal/control/runs/schedule.go
+++ b/internal/control/runs/schedule.go
@@ -85,7 +85,11 @@
 		p.prefetchTickets(ts)
 		return
 	}
-	for _, w := range p.pack(ts, len(ts.pending), true) {
+	room := p.c.startRoom(ts.record.Workflow.Workspace)
+	if room < len(ts.pending) {
+		p.c.options.Events.Count("starts_held")
+	}
+	for _, w := range p.pack(ts, min(len(ts.pending), room), true) {
 		if !p.withinLimit(ts, ts.amount) {
 			p.prefetchTickets(ts)
 			return
@@ -179,6 +183,7 @@
 		taskSet: ts, worker: w, incarnation: w.Incarnation, ticket: ts.ticketToken(w), startedAt: p.now,
 	}
 	p.c.occupy(v)
+	p.c.startOpened(v)
 	p.c.batch.starts = append(p.c.batch.starts, v)
 	if p.c.quarantine.RecordStart(w.ID) {
 		w.unhealthyUntil = p.now + unhealthyBackoff
