--- a/internal/control/runs/footprint_test.go
+++ b/internal/control/runs/footprint_test.go
@@ -88,7 +88,7 @@
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc) //nolint:gosec // far below the maximum
+	return int64(m.HeapAlloc)
 }
 
 // TestFootprintCoversMemory: what accepted work takes on a leader, on its heap and for the copies of its snapshot, is no more than the
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -88,13 +88,7 @@
 	}()
 
 	l.watchMemory(ctx)
-	if o.Varied {
-		l.submitVaried(loadCtx)
-	}
-	finishOpenCallers := func(io.Writer) {}
-	if o.Rolls {
-		finishOpenCallers = l.startOpenCallers(loadCtx, o.NewClient)
-	}
+	finishOpenCallers := o.startFurtherLoad(loadCtx, l)
 	plan := o.plan(workerIDs)
 	started := time.Now()
 	var faults sync.WaitGroup
@@ -113,9 +107,6 @@
 	l.cancelVaried(ctx, o.CompletionTimeout)
 	l.awaitJobs(ctx, o.CompletionTimeout, out)
 	l.checkUse()
-	l.mu.Lock()
-	_, _ = fmt.Fprintf(out, "varied accepted=%d refused=%d peak_mb=%.0f\n", l.varied.accepted, l.varied.refused, l.varied.peak/(1<<20))
-	l.mu.Unlock()
 	if late != nil {
 		misread := fleet.Misread()
 		held, refused := late.counts()
@@ -123,12 +114,24 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_, _ = fmt.Fprintf(out, "varied accepted=%d refused=%d peak_mb=%.0f\n", l.varied.accepted, l.varied.refused, l.varied.peak/(1<<20))
 	if o.WorkerLeaves {
 		_, _ = fmt.Fprintf(out, "leave_calls lost=%d late=%d unanswered=%d answered=%d\n", l.leaveCalls[leaveLost], l.leaveCalls[leaveLate], l.leaveCalls[leaveUnanswered], l.leavesAnswered)
 	}
 	return slices.Concat(l.violations, fleet.Violations()), nil
 }
 
+// startFurtherLoad starts the kinds of load that the options choose, until ctx ends. The function that it returns waits for open callers.
+func (o *Options) startFurtherLoad(ctx context.Context, l *load) (finishOpenCallers func(io.Writer)) {
+	if o.Varied {
+		l.submitVaried(ctx)
+	}
+	if o.Rolls {
+		return l.startOpenCallers(ctx, o.NewClient)
+	}
+	return func(io.Writer) {}
+}
+
 // plan returns the faults of the run in the order of their starts.
 func (o *Options) plan(workers []string) []Fault {
 	replicas := o.Size.vmNames(replicaRole)
