--- a/internal/control/workflow/footprint.go
+++ b/internal/control/workflow/footprint.go
@@ -53,12 +53,15 @@
 	return &s.footprint
 }
 
+// estimate computes what the footprint of a record consists of, after its workflow was stored or discarded.
+func (r *Record) estimate() {
+	r.initialFootprint, r.openFootprint = NewWorkflowFootprint(&r.Workflow), OccurrenceFootprint(&r.Workflow)
+}
+
 // measure updates the footprint after a change of a record.
 func (s *State) measure(r *Record) {
-	bytes := NewWorkflowFootprint(&r.Workflow)
-	if extra := len(r.Open) - reservedOccurrences(&r.Workflow); extra > 0 && len(r.Workflow.Steps) > 0 {
-		bytes += int64(extra) * OccurrenceFootprint(&r.Workflow)
-	}
+	extra := max(len(r.Open)-reservedOccurrences(&r.Workflow), 0)
+	bytes := r.initialFootprint + int64(extra)*r.openFootprint
 	s.footprint.Add(r.Workflow.Workspace, bytes-r.footprint)
 	r.footprint = bytes
 }
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -65,7 +65,10 @@
 
 	liveRuns   int
 	unfinished int // occurrences with steps that aren't done
-	footprint  int64
+
+	footprint        int64 // as of the last measurement
+	initialFootprint int64 // before its first run
+	openFootprint    int64 // of each further occurrence
 }
 
 // Step returns the state of a step, or nil if there is no such step. It must not be changed, and isn't updated if the step has not run yet.
@@ -405,6 +408,7 @@
 	}
 	r := &Record{Workflow: w, Fingerprint: fingerprint}
 	r.recompute()
+	r.estimate()
 	s.records[w.ID] = r
 	if s.isWaiting(r) {
 		s.waiting[w.Queue]++
@@ -451,6 +455,7 @@
 		r.Workflow.Steps = slices.Clone(r.Workflow.Steps[:0])
 		r.Open, r.Closed = nil, nil
 		r.unfinished = 0
+		r.estimate()
 	}
 	s.measure(r)
 }
@@ -617,6 +622,7 @@
 			return fmt.Errorf("read workflow snapshot: %w", err)
 		}
 		r.recompute()
+		r.estimate()
 		s.measure(r)
 		s.records[r.Workflow.ID] = r
 		if s.isWaiting(r) {
