--- a/internal/control/workflow/occurrence.go
+++ b/internal/control/workflow/occurrence.go
@@ -1,6 +1,9 @@
 package workflow
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"math/bits"
 	"slices"
 
@@ -95,6 +98,45 @@
 	return touched
 }
 
+// openOccurrences holds occurrences by their number. In JSON it is always an object. Older versions stored an array of all occurrences, by
+// occurrence and step; it is read as well, and Record.recompute drops what has not run. An older version can't read the object, so it stops
+// rather than take the workflow for one without steps.
+type openOccurrences map[int]*Occurrence
+
+// MarshalJSON implements json.Marshaler.
+func (o openOccurrences) MarshalJSON() ([]byte, error) {
+	occurrences := map[int]*Occurrence(o)
+	if occurrences == nil {
+		occurrences = map[int]*Occurrence{}
+	}
+	data, err := json.Marshal(occurrences)
+	if err != nil {
+		return nil, fmt.Errorf("write occurrences: %w", err)
+	}
+	return data, nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *openOccurrences) UnmarshalJSON(data []byte) error {
+	if !bytes.HasPrefix(data, []byte("[")) {
+		var occurrences map[int]*Occurrence
+		if err := json.Unmarshal(data, &occurrences); err != nil {
+			return fmt.Errorf("read occurrences: %w", err)
+		}
+		*o = occurrences
+		return nil
+	}
+	var all [][]StepState
+	if err := json.Unmarshal(data, &all); err != nil {
+		return fmt.Errorf("read occurrences: %w", err)
+	}
+	*o = make(openOccurrences, len(all))
+	for k, steps := range all {
+		(*o)[k] = &Occurrence{Steps: steps}
+	}
+	return nil
+}
+
 // occurrenceSet is a set of occurrences, a bit for each up to the last one that it contains.
 type occurrenceSet []byte
 
--- a/internal/control/workflow/state.go
+++ b/internal/control/workflow/state.go
@@ -51,17 +51,14 @@
 // Record is a workflow with the state of its tasks. An occurrence has state of its own only from its first run until its last run has ended,
 // so that the size of a record follows what has run and not how many occurrences are scheduled.
 type Record struct {
-	Workflow    pj.Workflow         `json:"workflow"`
-	Fingerprint string              `json:"fingerprint,omitempty"` // of the workflow as submitted; "" if an older version discarded the definition
-	Open        map[int]*Occurrence `json:"open,omitempty"`        // occurrences that have run and aren't closed
-	Closed      occurrenceSet       `json:"closed,omitempty"`      // occurrences whose steps and runs have ended
-	Cancelled   bool                `json:"cancelled,omitempty"`
-	Failed      string              `json:"failed,omitempty"`   // reason for the failure
-	Started     bool                `json:"started,omitempty"`  // set once a run that is known to have started on a worker has ended
-	FinalAt     int64               `json:"final_at,omitempty"` // Unix time in milliseconds
-
-	// Stored by older versions for all occurrences, by occurrence and step. Restore converts it.
-	LegacyOccurrences [][]StepState `json:"occurrences,omitempty"`
+	Workflow    pj.Workflow     `json:"workflow"`
+	Fingerprint string          `json:"fingerprint,omitempty"` // of the workflow as submitted; "" if an older version discarded the definition
+	Open        openOccurrences `json:"occurrences"`           // occurrences that have run and aren't closed
+	Closed      occurrenceSet   `json:"closed,omitempty"`      // occurrences whose steps and runs have ended
+	Cancelled   bool            `json:"cancelled,omitempty"`
+	Failed      string          `json:"failed,omitempty"`   // reason for the failure
+	Started     bool            `json:"started,omitempty"`  // set once a run that is known to have started on a worker has ended
+	FinalAt     int64           `json:"final_at,omitempty"` // Unix time in milliseconds
 
 	liveRuns   int
 	unfinished int // occurrences with steps that aren't done
@@ -151,7 +148,7 @@
 	o = &Occurrence{Steps: make([]StepState, len(r.Workflow.Steps))}
 	o.recompute(&r.Workflow)
 	if r.Open == nil {
-		r.Open = make(map[int]*Occurrence)
+		r.Open = make(openOccurrences)
 	}
 	r.Open[k] = o
 	return o
@@ -167,38 +164,25 @@
 
 // recompute computes what is not part of a snapshot.
 func (r *Record) recompute() {
-	r.convertLegacy()
-	r.liveRuns, r.unfinished = 0, r.Workflow.Occurrences()-r.Closed.size()
-	for _, o := range r.Open {
+	r.liveRuns, r.unfinished = 0, r.Workflow.Occurrences()
+	for k, o := range r.Open {
 		o.recompute(&r.Workflow)
 		r.liveRuns += o.liveRuns
-		if o.unfinishedSteps == 0 {
+		switch {
+		case o.unfinishedSteps == 0 && o.liveRuns > 0:
 			r.unfinished--
+		case o.unfinishedSteps == 0:
+			r.close(k)
+		case !o.discardUntouched():
+			delete(r.Open, k)
 		}
 	}
+	r.unfinished -= r.Closed.size()
 	if len(r.Workflow.Steps) == 0 || (r.FinalAt != 0 && len(r.Open) == 0) { // finalise has discarded the state
 		r.unfinished = 0
 	}
 }
 
-// convertLegacy converts the state of the occurrences from the form in which older versions stored it.
-func (r *Record) convertLegacy() {
-	for k, steps := range r.LegacyOccurrences {
-		o := &Occurrence{Steps: steps}
-		o.recompute(&r.Workflow)
-		switch {
-		case o.unfinishedSteps == 0 && o.liveRuns == 0:
-			r.Closed.add(k)
-		case o.discardUntouched():
-			if r.Open == nil {
-				r.Open = make(map[int]*Occurrence)
-			}
-			r.Open[k] = o
-		}
-	}
-	r.LegacyOccurrences = nil
-}
-
 // State is the replicated state.
 type State struct {
 	index     uint64
--- a/internal/control/workflow/state_test.go
+++ b/internal/control/workflow/state_test.go
@@ -213,11 +213,17 @@
 	f.is.NoErr(json.Unmarshal(data, &snapshot))
 	r := f.state.Record("a")
 	record := snapshot["records"].([]any)[0].(map[string]any)
-	delete(record, "open")
 	delete(record, "closed")
 	record["occurrences"] = legacyOccurrences(r)
 	legacy, err := json.Marshal(snapshot)
 	f.is.NoErr(err)
+	var readByOlder struct {
+		Records []struct {
+			Occurrences [][]workflow.StepState `json:"occurrences"`
+		} `json:"records"`
+	}
+	f.is.True(json.Unmarshal(data, &readByOlder) != nil) // it stops
+	f.is.NoErr(json.Unmarshal(legacy, &readByOlder))
 	restored := workflow.NewState()
 	f.is.NoErr(restored.Restore(legacy))
 	again, err := restored.Snapshot()
