--- a/internal/soak/varied.go
+++ b/internal/soak/varied.go
@@ -27,7 +27,7 @@
 	hoursOfYear      = 8760
 	hour             = time.Hour
 	overdueTimes     = 40
-	chainSteps       = 8
+	chainSteps       = 3
 	maxEarlyStart    = 250 * time.Millisecond // before an occurrence is due
 	largeRulesetIn   = 4                      // one version of the ruleset in so many is large
 	largeRulesRoutes = 1500
