--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -18,8 +18,7 @@
 // The entries since then are held in memory and are applied again after a restart, so their number and
 // their size are limited.
 const (
-	minSnapshotEntries = 2000     // entries applied between snapshots, unless they are large
-	minSnapshotBytes   = 4 << 20  // size of fewer entries after which a snapshot may be made, too
+	minSnapshotEntries = 2000     // minimum number of entries applied between snapshots, unless they are large
 	maxSnapshotEntries = 10000    // entries after which a snapshot is made whatever its size
 	maxSnapshotBytes   = 16 << 20 // the same for the size of the entries
 	retainedEntries    = 500      // entries kept before a snapshot for members that are slightly behind
@@ -390,10 +389,13 @@
 // snapshotDue reports whether the log has grown enough for a snapshot.
 func (g *Group) snapshotDue() bool {
 	entries, bytes := g.applied-g.snapshotIndex, g.bytesSinceSnapshot
-	if g.applied < g.nextSnapshot || (entries < minSnapshotEntries && bytes < minSnapshotBytes) {
+	switch {
+	case g.applied < g.nextSnapshot:
 		return false
+	case entries >= maxSnapshotEntries, bytes >= maxSnapshotBytes:
+		return true
 	}
-	return entries >= maxSnapshotEntries || bytes >= maxSnapshotBytes || bytes >= g.snapshotBytes
+	return entries >= minSnapshotEntries && bytes >= g.snapshotBytes
 }
 
 // maybeSnapshot snapshots the state and compacts the log if the log has grown enough.
