Runs: a step that has room again isn't made to wait for another step's next occurrence

Found on reading the diff: of a scheduled workflow whose steps are independent, one that had 16 occurrences waiting was looked at again only when the other one's next occurrence was due. The case "beside a step that is faster" of TestOccurrencesRunWhenDue fails before and passes after.

--- a/internal/control/runs/occurrences.go
+++ b/internal/control/runs/occurrences.go
@@ -70,7 +70,7 @@
 		return
 	}
 	step.waiting += change
-	if change < 0 && s.lookAt == never {
+	if change < 0 && s.lookAt > 0 {
 		s.lookAt = 0
 		heap.Fix(&c.dueSchedules, s.index)
 	}
--- a/internal/control/runs/occurrences_test.go
+++ b/internal/control/runs/occurrences_test.go
@@ -88,6 +88,7 @@
 		"all are due, with a new one":    {workflow: scheduled("a", times, -1000*time.Hour, time.Minute), elect: true, after: 20 * time.Second, want: upTo(times), state: pj.WorkflowComplete},
 		"some are due, with a new one":   {workflow: scheduled("a", times, 0, time.Minute), elect: true, after: 150 * time.Second, want: upTo(3), state: pj.WorkflowRunning},
 		"beside a step that can't run":   {workflow: scheduled("a", times, -1000*time.Hour, time.Minute, blocked, oneTask()), after: time.Second, want: upTo(times), state: pj.WorkflowRunning},
+		"beside a step that is faster":   {workflow: scheduled("a", times+1, -(times-1)*time.Hour, time.Hour, pj.Step{Tasks: 1, Task: pj.NewResources(8, 8, 0, 0)}, pj.Step{Tasks: 1, Task: pj.NewResources(0.01, 0.01, 0, 0)}), after: 20 * time.Second, want: slices.Sorted(slices.Values(slices.Repeat(upTo(times), 2))), state: pj.WorkflowRunning},
 		"before a step that can't run":   {workflow: scheduled("a", times, -1000*time.Hour, time.Minute, oneTask(), pj.Step{Tasks: 1, Label: "none", DependsOn: []int{0}}), after: time.Second, want: upTo(times), state: pj.WorkflowRunning},
 		"of steps that follow the other": {workflow: scheduled("a", 2, -time.Hour, time.Minute, oneTask(), second), after: time.Second, want: []int{0, 0, 1, 1}, state: pj.WorkflowComplete},
 	}
