Tests: the state budget from the settings to an entry's answer

TestOverBudget: an entry of a real cell gets the refusal, as not run and with a Retry-After; TestStateBudget: what follows from the settings. The setting's field has the name of the setting.

--- a/internal/config/settings/cluster.go
+++ b/internal/config/settings/cluster.go
@@ -23,31 +23,31 @@
 
 // Cluster are the validated settings of one VM in a cluster that discovers its VMs through seeds.
 type Cluster struct {
-	VM            string // for logs; the VMs identify each other by address
-	Role          string
-	Zone          string
-	Region        string
-	Zones         []string // all availability zones, as zone=region
-	ListenFront   string   // entries: IP and port for callers
-	ListenReady   string   // entries: IP and port for the load balancer's readiness checks
-	ListenControl string   // replicas: IP and port for workers and operators
-	IP            string   // address of this VM for the other VMs
-	PeerPort      int      // port of this VM for the other VMs; the same on all VMs
-	ListenPeer    string   // IP and port to listen on for the other VMs, if a forwarder listens on IP and PeerPort
-	MetricsPort   int
-	Seeds         []string // values of ListenControl of some replicas
-	Bootstrap     bool     // first start of the cluster, with empty disks
-	DataDir       string
-	AdviceAddress string        // IP and port of the placement policy service, for the queues that have a placement policy
-	GracePeriod   time.Duration // time between SIGTERM and SIGKILL
-	MaxRulesDelay time.Duration // maximum time between the acknowledgement of published rules and their being in force on every VM; 0 for no guarantee
-	Retention     time.Duration // retention time of workflows in a final state; 0 for the daemon's default
-	MaxLease      time.Duration // longest time, on a worker's own clock, for which it holds a lease whatever end an order sets; 0 for the daemon's default
-	MemoryMB      int64         // memory of this VM in MiB; 0 if unknown
-	StateMB       int64         // estimated memory in MiB that accepted workflows may take on a replica; 0 for a fraction of MemoryMB
-	WorkspaceMB   int64         // of it, in MiB, for the workflows of one workspace; 0 for a multiple of what is free
-	InsecurePeers bool          // connections between VMs are not encrypted; for private networks only
-	Quiet         bool
+	VM               string // for logs; the VMs identify each other by address
+	Role             string
+	Zone             string
+	Region           string
+	Zones            []string // all availability zones, as zone=region
+	ListenFront      string   // entries: IP and port for callers
+	ListenReady      string   // entries: IP and port for the load balancer's readiness checks
+	ListenControl    string   // replicas: IP and port for workers and operators
+	IP               string   // address of this VM for the other VMs
+	PeerPort         int      // port of this VM for the other VMs; the same on all VMs
+	ListenPeer       string   // IP and port to listen on for the other VMs, if a forwarder listens on IP and PeerPort
+	MetricsPort      int
+	Seeds            []string // values of ListenControl of some replicas
+	Bootstrap        bool     // first start of the cluster, with empty disks
+	DataDir          string
+	AdviceAddress    string        // IP and port of the placement policy service, for the queues that have a placement policy
+	GracePeriod      time.Duration // time between SIGTERM and SIGKILL
+	MaxRulesDelay    time.Duration // maximum time between the acknowledgement of published rules and their being in force on every VM; 0 for no guarantee
+	Retention        time.Duration // retention time of workflows in a final state; 0 for the daemon's default
+	MaxLease         time.Duration // longest time, on a worker's own clock, for which it holds a lease whatever end an order sets; 0 for the daemon's default
+	MemoryMB         int64         // memory of this VM in MiB; 0 if unknown
+	StateMB          int64         // estimated memory in MiB that accepted workflows may take on a replica; 0 for a fraction of MemoryMB
+	WorkspaceStateMB int64         // of it, in MiB, for the workflows of one workspace; 0 for a multiple of what is free
+	InsecurePeers    bool          // connections between VMs are not encrypted; for private networks only
+	Quiet            bool
 }
 
 // defaultGracePeriod is the default of GracePeriod.
@@ -96,7 +96,7 @@
 	fs.DurationVar(&s.MaxLease, "max_worker_lease", s.MaxLease, "longest time for which a worker holds a lease, whatever end an order sets, 0 for 12s")
 	fs.Int64Var(&s.MemoryMB, "memory_mb", s.MemoryMB, "memory of this VM in MiB, 0 if unknown")
 	fs.Int64Var(&s.StateMB, "state_mb", s.StateMB, "replicas: estimated memory in MiB that accepted workflows may take, further submissions are refused; 0 for three tenths of memory_mb")
-	fs.Int64Var(&s.WorkspaceMB, "workspace_state_mb", s.WorkspaceMB, "replicas: of state_mb, what the workflows of one workspace may take; 0 for twice what is free")
+	fs.Int64Var(&s.WorkspaceStateMB, "workspace_state_mb", s.WorkspaceStateMB, "replicas: of state_mb, what the workflows of one workspace may take; 0 for twice what is free")
 	fs.BoolVar(&s.InsecurePeers, "insecure_peers", s.InsecurePeers, "connections between VMs are not encrypted; for private networks only")
 	fs.BoolVar(&s.Quiet, "quiet", s.Quiet, "disable logging")
 	return fs
@@ -155,7 +155,7 @@
 	for _, seed := range s.Seeds {
 		checkAddress("seeds", seed)
 	}
-	if s.GracePeriod <= 0 || min(s.MemoryMB, s.StateMB, s.WorkspaceMB, int64(s.Retention), int64(s.MaxRulesDelay), int64(s.MaxLease)) < 0 {
+	if s.GracePeriod <= 0 || min(s.MemoryMB, s.StateMB, s.WorkspaceStateMB, int64(s.Retention), int64(s.MaxRulesDelay), int64(s.MaxLease)) < 0 {
 		reject("grace must be greater than 0; memory_mb, state_mb, workspace_state_mb, keep, rules_within and max_worker_lease must be at least 0")
 	}
 	return errors.Join(errs...)
@@ -193,7 +193,7 @@
 
 // WorkspaceStateBudget returns the part of StateBudget in bytes that the workflows of one workspace may take, 0 if it has no maximum of its own.
 func (s *Cluster) WorkspaceStateBudget() int64 {
-	return s.WorkspaceMB * bytesPerMB
+	return s.WorkspaceStateMB * bytesPerMB
 }
 
 // PeerAddress returns the address at which the other VMs reach this one.
--- a/internal/config/settings/cluster_test.go
+++ b/internal/config/settings/cluster_test.go
@@ -30,6 +30,8 @@
 		"no peer port":                        {replace: `7400`, with: `0`, wantErr: "peer_port"},
 		"zero grace period":                   {replace: `"6s"`, with: `"0s"`, wantErr: "grace"},
 		"negative lease of workers":           {replace: `"grace"`, with: `"max_worker_lease":"-1s","grace"`, wantErr: "max_worker_lease"},
+		"negative state budget":               {replace: `"grace"`, with: `"state_mb":-1,"grace"`, wantErr: "state_mb"},
+		"negative workspace state budget":     {replace: `"grace"`, with: `"workspace_state_mb":-1,"grace"`, wantErr: "workspace_state_mb"},
 		"truncated JSON":                      {replace: `"insecure_peers":true}`, with: ``, wantErr: "read settings"},
 		"unknown key":                         {replace: `"vm"`, with: `"machine"`, wantErr: "read settings"},
 	}
@@ -58,3 +60,23 @@
 		})
 	}
 }
+
+// TestStateBudget checks the state budgets that follow from the settings.
+func TestStateBudget(t *testing.T) {
+	tests := map[string]struct {
+		settings        Cluster
+		want, workspace int64 // in bytes
+	}{
+		"nothing known":  {},
+		"of the memory":  {settings: Cluster{MemoryMB: 280}, want: 84 << 20},
+		"set":            {settings: Cluster{MemoryMB: 280, StateMB: 50}, want: 50 << 20},
+		"of a workspace": {settings: Cluster{StateMB: 50, WorkspaceStateMB: 10}, want: 50 << 20, workspace: 10 << 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(test.settings.StateBudget(), test.want)
+			is.Equal(test.settings.WorkspaceStateBudget(), test.workspace)
+		})
+	}
+}
--- a/internal/server/cluster/cluster_test.go
+++ b/internal/server/cluster/cluster_test.go
@@ -30,6 +30,8 @@
 	workers []pj.PolledWorker
 	vms     map[string]*testVM
 	seeds   []string
+
+	stateBudget int64 // of the replicas in bytes; 0 for the default
 }
 
 // testVM is a replica or the entry.
@@ -56,7 +58,12 @@
 
 func newSystem(t *testing.T, workerCount int) *system {
 	t.Helper()
-	s := &system{t: t, is: is.New(t), vms: make(map[string]*testVM)}
+	return newSystemWithBudget(t, workerCount, 0)
+}
+
+func newSystemWithBudget(t *testing.T, workerCount int, stateBudget int64) *system {
+	t.Helper()
+	s := &system{t: t, is: is.New(t), vms: make(map[string]*testVM), stateBudget: stateBudget}
 	var workers []pj.PolledWorker
 	for i := range workerCount {
 		id := fmt.Sprintf("w%d", i)
@@ -123,6 +130,7 @@
 	vm, closeVM, err := cluster.New(cluster.Options{
 		Address: address, Replica: replica, DataDir: v.dataDir, Bootstrap: bootstrap, Seeds: func() []string { return s.seeds },
 		Zone: zoneOf(slices.Index(s.seeds, address)), Region: "region", WorkerClient: v.client, Logger: kitlog.NewNopLogger(), Metrics: v.metrics,
+		StateBudget: s.stateBudget,
 	})
 	s.is.NoErr(err)
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
@@ -345,6 +353,29 @@
 	})
 }
 
+// TestOverBudget: an entry refuses work beyond the replicas' state budget at once, as not run, and says when to come back. What was accepted
+// goes on.
+func TestOverBudget(t *testing.T) {
+	const budget = 20 << 10 // some workflows
+	s := newSystemWithBudget(t, 3, budget)
+	never := pj.Step{Tasks: 1, Task: pj.NewResources(1, 1, 0, 0), Label: "none"}
+	refused := &pj.Error{}
+	for i := 0; refused.Code != pj.CodeOverloaded; i++ {
+		w := pj.Workflow{ID: fmt.Sprint("w", i), Queue: "q", Workspace: "team", Pool: "pool", Steps: []pj.Step{never}, MaxAttempts: 3}
+		s.eventually(w.ID+" is accepted or refused", func(ctx context.Context) bool {
+			err := s.entry().Submit(ctx, team(), w)
+			if err != nil {
+				refused = pj.AsError(err)
+			}
+			return err == nil || refused.Code == pj.CodeOverloaded
+		})
+	}
+	s.is.True(refused.NotRun)
+	s.is.True(refused.RetryAfter > 0)
+	s.eventually("the first one is cancelled", func(ctx context.Context) bool { return s.entry().Cancel(ctx, team(), "w0") == nil })
+	s.submit("w1", never) // again
+}
+
 // TestLeaveThroughRelays covers a worker that leaves a large fleet, whose runs are stopped by a relay.
 func TestLeaveThroughRelays(t *testing.T) {
 	s := newSystem(t, 120)
