--- a/internal/control/runs/occurrences.go
+++ b/internal/control/runs/occurrences.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// scheduledStep returns the progress of a task set's step through the occurrences, or nil if the step depends on others, the workflow isn't
+// scheduleOf returns the schedule and the progress of a task set's step through the occurrences, or nil if the step depends on others, the workflow isn't
 // scheduled, or all its occurrences were enqueued.
-func (c *Controller) scheduledStep(ts *taskSet) (*schedule, *scheduledStep) {
+func (c *Controller) scheduleOf(ts *taskSet) (*schedule, *scheduledStep) {
 	s := c.schedules[ts.id.Workflow]
 	if s == nil {
 		return nil, nil
@@ -65,7 +65,7 @@
 
 // waitingChanged counts a task set that begins or ceases to wait. One that ceases makes room for the next occurrence.
 func (c *Controller) waitingChanged(ts *taskSet, change int) {
-	s, step := c.scheduledStep(ts)
+	s, step := c.scheduleOf(ts)
 	if s == nil {
 		return
 	}
--- a/internal/soak/varied.go
+++ b/internal/soak/varied.go
@@ -17,6 +17,7 @@
 // Work of a workspace that submits more than the state budget allows, of kinds that the other load lacks: schedules, labels, maxima of tasks
 // on a worker, many tasks or steps, and large documents.
 const (
+	variedKinds      = 9
 	variedSubmitters = 4
 	variedPause      = 40 * time.Millisecond // of a submitter, after each of its jobs
 	variedCancellers = 8
@@ -50,7 +51,7 @@
 		w.ScheduledOccurrences, w.StartAtMS, w.IntervalMS = times, start.UnixMilli(), interval.Milliseconds()
 	}
 	steps := 1
-	switch n % 9 {
+	switch n % variedKinds {
 	case 0:
 		schedule(hoursOfYear, now.Add(hour), hour)
 	case 1:
