Soak: jobs of open connections are asked for with their key

The jobs of the open callers had no key since, so their states were refused with 401 (event=call_refused no_key) and never known. A fault of the soak, not of the cell.

--- a/internal/soak/opencallers.go
+++ b/internal/soak/opencallers.go
@@ -109,7 +109,7 @@
 		case err == nil:
 			l.mu.Lock()
 			if l.jobs[id] == nil {
-				l.jobs[id] = &job{accepted: true}
+				l.jobs[id] = &job{accepted: true, key: apiKey}
 			}
 			l.mu.Unlock()
 		case permanent:
