Quarantine: a job's old failures are dropped

Found on reading the diff: a service lasts for ever, and its record kept the time of its last failure on each worker that it ever met. TestBarsEnd and TestFailingServicesLeaveWorkers pass as before; what a record holds can't be seen from outside, so there is no test of its own.

--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -133,14 +134,12 @@
 	return j
 }
 
-// failedElsewhere reports whether the job has failed on another worker within failureMemory, and has not succeeded since.
+// failedElsewhere reports whether the job has failed on another worker within failureMemory, and has not succeeded since. It drops older
+// failures, as a job may last for ever and meet any number of workers.
 func (j *jobRecord) failedElsewhere(now time.Duration, worker string) bool {
-	for other, at := range j.failedAt {
-		if other != worker && now < at+failureMemory {
-			return true
-		}
-	}
-	return false
+	maps.DeleteFunc(j.failedAt, func(_ string, at time.Duration) bool { return now >= at+failureMemory })
+	_, here := j.failedAt[worker]
+	return len(j.failedAt) > 1 || len(j.failedAt) == 1 && !here
 }
 
 // clearJobFailures removes a quarantined worker from the records of the jobs that failed on it, as
